Add the design page, the build, core types and the HTTP/1.1 adapter

Cause: an empty repository. The design comes first, so that the parts can be built in parallel against named interfaces. Conclusion: a base for the thin path.

--- /dev/null
+++ b/core/error.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "core/resultcode.h"
+
+#include <boost/leaf.hpp>
+
+#include <exception>
+#include <string>
+
+namespace endiveshore::core {
+
+/// Error object carried by boost::leaf::result in synchronous libraries.
+struct Failure
+{
+    ResultCode code = ResultCode::Internal;
+    std::string message;
+    std::string path; ///< JSON path of the offending field, if the failure concerns a document.
+};
+
+/// Exception thrown by coroutines, where LEAF's handler contexts do not survive a suspension.
+class Error : public std::exception
+{
+public:
+    Error(ResultCode code, std::string message)
+        : code(code)
+        , outcome(resultCodeInfo(code).outcome)
+        , message(std::move(message))
+    {
+    }
+
+    const char *what() const noexcept override
+    {
+        return this->message.c_str();
+    }
+
+    ResultCode code;
+    Outcome outcome; ///< Defaults to the outcome of the code; adapters override it when they know better.
+    std::string message;
+};
+
+/// Runs @p produce, which returns a leaf::result, and turns a Failure into a thrown Error.
+template<typename Produce>
+auto valueOrThrow(Produce &&produce)
+{
+    return boost::leaf::try_handle_all(
+        std::forward<Produce>(produce),
+        [](const Failure &failure) -> typename std::decay_t<decltype(produce())>::value_type {
+            throw Error(failure.code, failure.path.empty() ? failure.message : failure.path + ": " + failure.message);
+        },
+        []() -> typename std::decay_t<decltype(produce())>::value_type {
+            throw Error(ResultCode::Internal, "unclassified failure");
+        });
+}
+
+}
--- /dev/null
+++ b/core/hashing.cpp
@@ -0,0 +1,130 @@
+#include "core/hashing.h"
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <openssl/rand.h>
+#include <openssl/sha.h>
+
+#include <algorithm>
+#include <array>
+
+namespace endiveshore::core {
+
+namespace {
+
+std::string toHex(std::span<const unsigned char> bytes)
+{
+    static constexpr std::string_view Digits = "0123456789abcdef";
+    std::string hex;
+    hex.reserve(bytes.size() * 2);
+    for (const unsigned char byte : bytes) {
+        hex.push_back(Digits[byte >> 4]);
+        hex.push_back(Digits[byte & 0x0f]);
+    }
+    return hex;
+}
+
+const unsigned char *bytesOf(std::string_view text)
+{
+    return reinterpret_cast<const unsigned char *>(text.data());
+}
+
+}
+
+std::uint64_t stableHash(std::string_view text)
+{
+    std::uint64_t hash = 14695981039346656037ULL;
+    for (const char character : text) {
+        hash = (hash ^ static_cast<unsigned char>(character)) * 1099511628211ULL;
+    }
+    // FNV-1a alone leaves the high bits of short texts correlated, which skews rendezvous hashing.
+    hash ^= hash >> 33;
+    hash *= 0xff51afd7ed558ccdULL;
+    hash ^= hash >> 33;
+    hash *= 0xc4ceb9fe1a85ec53ULL;
+    return hash ^ (hash >> 33);
+}
+
+std::uint64_t rendezvousWeight(std::string_view key, std::string_view node)
+{
+    std::string joined;
+    joined.reserve(key.size() + node.size() + 1);
+    joined.append(key).append(1, '|').append(node);
+    return stableHash(joined);
+}
+
+std::vector<std::string> rendezvousOrder(std::string_view key, std::span<const std::string> nodes)
+{
+    std::vector<std::string> ordered(nodes.begin(), nodes.end());
+    std::sort(ordered.begin(), ordered.end(), [key](const std::string &left, const std::string &right) {
+        const std::uint64_t leftWeight = rendezvousWeight(key, left);
+        const std::uint64_t rightWeight = rendezvousWeight(key, right);
+        return leftWeight != rightWeight ? leftWeight > rightWeight : left < right;
+    });
+    return ordered;
+}
+
+std::string sha256Hex(std::string_view data)
+{
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
+    SHA256(bytesOf(data), data.size(), digest.data());
+    return toHex(digest);
+}
+
+std::string hmacSha256(std::string_view secret, std::string_view data)
+{
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
+    unsigned int length = 0;
+    HMAC(EVP_sha256(),
+         secret.data(),
+         static_cast<int>(secret.size()),
+         bytesOf(data),
+         data.size(),
+         digest.data(),
+         &length);
+    return std::string(reinterpret_cast<const char *>(digest.data()), length);
+}
+
+bool equalConstantTime(std::string_view left, std::string_view right)
+{
+    return left.size() == right.size() && CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
+}
+
+std::string base64Encode(std::string_view data)
+{
+    std::string text(4 * ((data.size() + 2) / 3) + 1, '\0');
+    const int length
+        = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()), bytesOf(data), static_cast<int>(data.size()));
+    text.resize(static_cast<std::size_t>(length));
+    return text;
+}
+
+std::string base64Decode(std::string_view text)
+{
+    if (text.empty() || text.size() % 4 != 0) {
+        return {};
+    }
+    std::string data(text.size() / 4 * 3, '\0');
+    const int length
+        = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(data.data()), bytesOf(text), static_cast<int>(text.size()));
+    if (length < 0) {
+        return {};
+    }
+    // EVP_DecodeBlock counts padding as zero bytes.
+    std::size_t padding = 0;
+    while (padding < 2 && text[text.size() - 1 - padding] == '=') {
+        ++padding;
+    }
+    data.resize(static_cast<std::size_t>(length) - padding);
+    return data;
+}
+
+std::string randomHex(std::size_t bytes)
+{
+    std::vector<unsigned char> buffer(bytes);
+    RAND_bytes(buffer.data(), static_cast<int>(bytes));
+    return toHex(buffer);
+}
+
+}
--- /dev/null
+++ b/net/httpclient.cpp
@@ -0,0 +1,140 @@
+#include "net/httpclient.h"
+
+#include "core/error.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <netinet/tcp.h>
+
+namespace endiveshore::net {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t MaxAnswerBytes = 8 * 1024 * 1024;
+
+// A connection whose sent bytes stay unacknowledged for this long is dropped by the kernel; middle boxes may have
+// forgotten it without a reset.
+constexpr int TcpUserTimeoutMs = 5'000;
+
+}
+
+struct HttpClientConnection::Impl
+{
+    explicit Impl(const Executor &executor)
+        : stream(executor)
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer{MaxAnswerBytes};
+    std::string host;
+    bool open = false;
+    bool unsent = true;
+};
+
+HttpClientConnection::HttpClientConnection(const Executor &executor)
+    : impl(std::make_unique<Impl>(executor))
+{
+}
+
+HttpClientConnection::~HttpClientConnection() = default;
+HttpClientConnection::HttpClientConnection(HttpClientConnection &&other) noexcept = default;
+HttpClientConnection &HttpClientConnection::operator=(HttpClientConnection &&other) noexcept = default;
+
+awaitable<void> HttpClientConnection::connect(TcpEndpoint endpoint, core::Duration timeout)
+{
+    Impl &state = *this->impl;
+    state.unsent = true;
+    state.stream.expires_after(timeout);
+    auto [connectError] = co_await state.stream.async_connect(endpoint, UseTuple);
+    if (connectError) {
+        this->close();
+        throw core::Error(core::ResultCode::BackendUnreachable, "connect: " + connectError.message());
+    }
+    beast::error_code ignored;
+    state.stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    state.stream.socket().set_option(UserTimeout(TcpUserTimeoutMs), ignored);
+    state.host = endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+    state.open = true;
+}
+
+bool HttpClientConnection::isOpen() const
+{
+    return this->impl->open;
+}
+
+bool HttpClientConnection::lastRequestUnsent() const
+{
+    return this->impl->unsent;
+}
+
+awaitable<HttpResponse> HttpClientConnection::exchange(HttpRequest request, core::Duration timeout)
+{
+    Impl &state = *this->impl;
+    state.unsent = true;
+    if (!state.open) {
+        throw core::Error(core::ResultCode::BackendUnreachable, "connection is closed");
+    }
+    http::request<http::string_body> message(http::string_to_verb(request.method), request.target, 11);
+    message.set(http::field::host, state.host);
+    for (const auto &[name, value] : request.headers) {
+        message.set(name, value);
+    }
+    message.body() = std::move(request.body);
+    message.prepare_payload();
+
+    state.stream.expires_after(timeout);
+    auto [writeError, writtenBytes] = co_await http::async_write(state.stream, message, UseTuple);
+    state.unsent = false;
+    if (writeError) {
+        this->close();
+        throw core::Error(core::ResultCode::AnswerLost, "send: " + writeError.message());
+    }
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(MaxAnswerBytes);
+    auto [readError, readBytes] = co_await http::async_read(state.stream, state.buffer, parser, UseTuple);
+    if (readError) {
+        this->close();
+        throw core::Error(core::ResultCode::AnswerLost, "receive: " + readError.message());
+    }
+    state.stream.expires_never();
+    http::response<http::string_body> answer = parser.release();
+    if (!answer.keep_alive()) {
+        this->close();
+    }
+    HttpResponse response;
+    response.status = static_cast<int>(answer.result_int());
+    for (const auto &field : answer) {
+        response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    }
+    response.body = std::move(answer.body());
+    co_return response;
+}
+
+void HttpClientConnection::close()
+{
+    this->impl->open = false;
+    beast::error_code ignored;
+    this->impl->stream.socket().close(ignored);
+}
+
+awaitable<HttpResponse> exchangeOnce(TcpEndpoint endpoint, HttpRequest request, core::Duration timeout)
+{
+    const core::TimePoint deadline = core::Clock::now() + timeout;
+    HttpClientConnection connection(co_await asio::this_coro::executor);
+    co_await connection.connect(endpoint, timeout);
+    HttpResponse response = co_await connection.exchange(std::move(request), deadline - core::Clock::now());
+    co_return response;
+}
+
+}
--- /dev/null
+++ b/net/httpclient.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "core/time.h"
+#include "net/asyncio.h"
+#include "net/httpmessage.h"
+
+#include <memory>
+
+namespace endiveshore::net {
+
+/// One HTTP/1.1 client connection with keep-alive. Not thread-safe; one exchange at a time. An exchange that fails or
+/// passes its deadline closes the connection, so that a late answer can never be read as the answer to a later request.
+class HttpClientConnection
+{
+public:
+    explicit HttpClientConnection(const Executor &executor);
+    ~HttpClientConnection();
+    HttpClientConnection(HttpClientConnection &&other) noexcept;
+    HttpClientConnection &operator=(HttpClientConnection &&other) noexcept;
+
+    /// Opens the connection. Throws core::Error(BackendUnreachable, not run) on failure or after @p timeout.
+    awaitable<void> connect(TcpEndpoint endpoint, core::Duration timeout);
+
+    bool isOpen() const;
+
+    /// True if nothing of the last failed request can have left this host: the connection was refused or already
+    /// closed.
+    bool lastRequestUnsent() const;
+
+    /// Sends @p request and returns the whole answer. Throws core::Error: BackendUnreachable with outcome not run if
+    /// the request did not leave, AnswerLost with outcome unknown if it may have left, also after @p timeout.
+    awaitable<HttpResponse> exchange(HttpRequest request, core::Duration timeout);
+
+    /// Closes the connection at once; a pending exchange fails.
+    void close();
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl;
+};
+
+/// One exchange on a new connection. Errors as HttpClientConnection.
+awaitable<HttpResponse> exchangeOnce(TcpEndpoint endpoint, HttpRequest request, core::Duration timeout);
+
+}
--- /dev/null
+++ b/net/httpmessage.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "core/resultcode.h"
+
+#include <boost/json/fwd.hpp>
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace endiveshore::net {
+
+/// Header fields in the order received. Names compare without regard to case.
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+/// Value of header @p name, or an empty view.
+std::string_view headerValue(const HttpHeaders &headers, std::string_view name);
+
+struct HttpRequest
+{
+    std::string method = "GET";
+    std::string target = "/";
+    HttpHeaders headers;
+    std::string body;
+};
+
+struct HttpResponse
+{
+    int status = 200;
+    HttpHeaders headers;
+    std::string body;
+};
+
+/// JSON answer with content type application/json.
+HttpResponse jsonResponse(int status, const boost::json::object &body);
+
+/// Error answer `{"outcome","code","name","message"}` with the HTTP status of @p code.
+HttpResponse errorResponse(core::ResultCode code, core::Outcome outcome, std::string_view message);
+
+/// POST request with a JSON body.
+HttpRequest jsonRequest(std::string_view target, const boost::json::object &body);
+
+}
--- /dev/null
+++ b/net/httpserver.cpp
@@ -0,0 +1,208 @@
+#include "net/httpserver.h"
+
+#include "core/error.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+namespace endiveshore::net {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+
+HttpRequest toRequest(http::request<http::string_body> &&message)
+{
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto &field : message) {
+        request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    }
+    request.body = std::move(message.body());
+    return request;
+}
+
+http::response<http::string_body> toMessage(HttpResponse &&response, unsigned version, bool keepAlive)
+{
+    http::response<http::string_body> message(static_cast<http::status>(response.status), version);
+    for (const auto &[name, value] : response.headers) {
+        message.set(name, value);
+    }
+    message.keep_alive(keepAlive);
+    message.body() = std::move(response.body);
+    message.prepare_payload();
+    return message;
+}
+
+core::ResultCode codeOfReadError(const beast::error_code &error)
+{
+    if (error == beast::error::timeout) {
+        return core::ResultCode::RequestTimeout;
+    }
+    if (error == http::error::body_limit || error == http::error::header_limit
+        || error == http::error::buffer_overflow) {
+        return core::ResultCode::RequestTooLarge;
+    }
+    return core::ResultCode::MalformedRequest;
+}
+
+bool isPeerGone(const beast::error_code &error)
+{
+    return error == http::error::end_of_stream || error == asio::error::connection_reset || error == asio::error::eof
+        || error == asio::error::operation_aborted;
+}
+
+}
+
+struct HttpServer::Acceptor
+{
+    explicit Acceptor(const Executor &executor)
+        : socket(executor)
+    {
+    }
+
+    asio::ip::tcp::acceptor socket;
+};
+
+HttpServer::HttpServer(Handler handler, HttpServerOptions options, CloseHandler onClose)
+    : handler(std::move(handler))
+    , options(options)
+    , onClose(std::move(onClose))
+{
+}
+
+void HttpServer::listen(const Executor &executor, const TcpEndpoint &endpoint, bool reusePort)
+{
+    auto acceptor = std::make_shared<Acceptor>(executor);
+    acceptor->socket.open(endpoint.protocol());
+    acceptor->socket.set_option(asio::socket_base::reuse_address(true));
+    if (reusePort) {
+        using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+        acceptor->socket.set_option(ReusePort(true));
+    }
+    acceptor->socket.bind(endpoint);
+    acceptor->socket.listen();
+    this->acceptors.push_back(acceptor);
+    asio::co_spawn(executor, this->acceptLoop(acceptor), asio::detached);
+}
+
+void HttpServer::stop()
+{
+    this->stopping = true;
+    for (const std::shared_ptr<Acceptor> &acceptor : this->acceptors) {
+        asio::post(acceptor->socket.get_executor(), [acceptor] {
+            beast::error_code ignored;
+            acceptor->socket.close(ignored);
+        });
+    }
+}
+
+std::size_t HttpServer::connectionCount() const
+{
+    return this->connections;
+}
+
+std::size_t HttpServer::activeRequests() const
+{
+    return this->requests;
+}
+
+awaitable<void> HttpServer::acceptLoop(std::shared_ptr<Acceptor> acceptor)
+{
+    const std::shared_ptr<HttpServer> self = this->shared_from_this();
+    while (!this->stopping) {
+        auto [acceptError, socket] = co_await acceptor->socket.async_accept(UseTuple);
+        if (acceptError) {
+            if (!acceptor->socket.is_open()) {
+                break;
+            }
+            // Running out of file descriptors must not end the accept loop.
+            asio::steady_timer pause(acceptor->socket.get_executor(), std::chrono::milliseconds(20));
+            co_await pause.async_wait(UseTuple);
+            continue;
+        }
+        const Executor executor = acceptor->socket.get_executor();
+        asio::co_spawn(executor, this->serveConnection(std::move(socket)), asio::detached);
+    }
+}
+
+awaitable<void> HttpServer::serveConnection(asio::ip::tcp::socket socket)
+{
+    const std::shared_ptr<HttpServer> self = this->shared_from_this();
+    ++this->connections;
+    HttpConnection connection{.id = this->nextConnectionId++, .remote = {}, .state = {}};
+    beast::error_code ignored;
+    connection.remote = socket.remote_endpoint(ignored);
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buffer(this->options.maxHeaderBytes + this->options.maxBodyBytes);
+
+    bool keepAlive = true;
+    while (keepAlive) {
+        if (buffer.size() == 0) {
+            // The wait for the first byte has its own limit, so that an idle connection outlives a slow request.
+            stream.expires_after(this->options.idleTimeout);
+            auto waited = co_await stream.socket().async_wait(asio::socket_base::wait_read, UseTuple);
+            if (std::get<0>(waited)) {
+                break;
+            }
+        }
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(static_cast<std::uint32_t>(this->options.maxHeaderBytes));
+        parser.body_limit(this->options.maxBodyBytes);
+        stream.expires_after(this->options.requestTimeout);
+        auto [readError, readBytes] = co_await http::async_read(stream, buffer, parser, UseTuple);
+        if (readError && isPeerGone(readError)) {
+            break;
+        }
+        HttpResponse response;
+        unsigned version = 11;
+        if (readError) {
+            keepAlive = false;
+            // Bytes after a failed request cannot be attributed to a request.
+            response = errorResponse(codeOfReadError(readError), core::Outcome::NotRun, readError.message());
+        } else {
+            http::request<http::string_body> message = parser.release();
+            version = message.version();
+            keepAlive = message.keep_alive();
+            ++this->requests;
+            stream.expires_never();
+            HttpRequest request = toRequest(std::move(message));
+            try {
+                response = co_await this->handler(std::move(request), connection);
+            } catch (const core::Error &error) {
+                response = errorResponse(error.code, error.outcome, error.message);
+            } catch (const std::exception &error) {
+                response = errorResponse(core::ResultCode::Internal, core::Outcome::Unknown, error.what());
+            }
+            keepAlive = keepAlive && !this->stopping;
+        }
+        http::response<http::string_body> answer = toMessage(std::move(response), version, keepAlive);
+        stream.expires_after(this->options.writeTimeout);
+        auto [writeError, writtenBytes] = co_await http::async_write(stream, answer, UseTuple);
+        if (!readError) {
+            --this->requests;
+        }
+        if (writeError) {
+            break;
+        }
+    }
+    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    if (this->onClose) {
+        this->onClose(connection);
+    }
+    --this->connections;
+}
+
+}
--- /dev/null
+++ b/net/httpserver.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "net/asyncio.h"
+#include "net/httpmessage.h"
+
+#include <any>
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace endiveshore::net {
+
+/// Per-connection data of a server. The state lives until the connection closes.
+struct HttpConnection
+{
+    std::uint64_t id = 0;
+    TcpEndpoint remote;
+    std::any state; ///< Owned by the handler, for example an open transaction.
+};
+
+struct HttpServerOptions
+{
+    std::size_t maxHeaderBytes = 16 * 1024;
+    std::size_t maxBodyBytes = 1024 * 1024;
+    std::chrono::milliseconds idleTimeout{60'000}; ///< Between requests.
+    std::chrono::milliseconds requestTimeout{10'000}; ///< From the first byte of a request to its last.
+    std::chrono::milliseconds writeTimeout{10'000}; ///< To send one answer.
+};
+
+/// HTTP/1.1 server with keep-alive. Malformed, oversized, slow or truncated requests get a numbered error and close
+/// at most their own connection. All handlers of a connection run on the executor given to its acceptor.
+class HttpServer : public std::enable_shared_from_this<HttpServer>
+{
+public:
+    using Handler = std::function<awaitable<HttpResponse>(HttpRequest request, HttpConnection &connection)>;
+    using CloseHandler = std::function<void(HttpConnection &connection)>;
+
+    explicit HttpServer(Handler handler, HttpServerOptions options = {}, CloseHandler onClose = {});
+
+    /// Binds @p endpoint and accepts connections on @p executor until stop(). With @p reusePort several acceptors
+    /// share the port, one per traffic thread. Throws boost::system::system_error if the address is taken.
+    void listen(const Executor &executor, const TcpEndpoint &endpoint, bool reusePort = false);
+
+    /// Closes the acceptors; connections end after the request in progress (answers carry "Connection: close").
+    /// Safe to call from any thread.
+    void stop();
+
+    /// Open connections.
+    std::size_t connectionCount() const;
+
+    /// Requests being handled.
+    std::size_t activeRequests() const;
+
+private:
+    struct Acceptor;
+    awaitable<void> acceptLoop(std::shared_ptr<Acceptor> acceptor);
+    awaitable<void> serveConnection(asio::ip::tcp::socket socket);
+
+    Handler handler;
+    HttpServerOptions options;
+    CloseHandler onClose;
+    std::vector<std::shared_ptr<Acceptor>> acceptors;
+    std::atomic<bool> stopping{false};
+    std::atomic<std::size_t> connections{0};
+    std::atomic<std::size_t> requests{0};
+    std::atomic<std::uint64_t> nextConnectionId{1};
+};
+
+}
--- /dev/null
+++ b/tests/net/test_http.cpp
@@ -0,0 +1,120 @@
+#include "core/error.h"
+#include "net/httpclient.h"
+#include "net/httpserver.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <gtest/gtest.h>
+
+namespace endiveshore::net {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+const TcpEndpoint TestEndpoint(asio::ip::address_v4::loopback(), 28431);
+
+std::shared_ptr<HttpServer> echoServer(asio::io_context &context)
+{
+    auto handler = [](HttpRequest request, HttpConnection &) -> awaitable<HttpResponse> {
+        if (request.target == "/slow") {
+            asio::steady_timer timer(co_await asio::this_coro::executor, 10s);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        HttpResponse response;
+        response.body = request.body;
+        co_return response;
+    };
+    HttpServerOptions options;
+    options.maxBodyBytes = 1000;
+    auto server = std::make_shared<HttpServer>(handler, options);
+    server->listen(context.get_executor(), TestEndpoint);
+    return server;
+}
+
+template<typename Body>
+void runWithServer(Body body)
+{
+    asio::io_context context;
+    std::shared_ptr<HttpServer> server = echoServer(context);
+    std::exception_ptr failure;
+    asio::co_spawn(context, body(), [&](std::exception_ptr error) {
+        failure = error;
+        server->stop();
+        context.stop();
+    });
+    context.run_for(20s);
+    if (failure) {
+        std::rethrow_exception(failure);
+    }
+}
+
+}
+
+// Guards against answers that are lost or mixed when a connection is reused.
+TEST(HttpServer, KeepAliveExchangesReturnTheirOwnAnswer)
+{
+    runWithServer([]() -> awaitable<void> {
+        HttpClientConnection connection(co_await asio::this_coro::executor);
+        co_await connection.connect(TestEndpoint, 1s);
+        for (const std::string &text : {std::string("first"), std::string("second")}) {
+            HttpRequest request;
+            request.method = "POST";
+            request.body = text;
+            const HttpResponse response = co_await connection.exchange(request, 1s);
+            EXPECT_EQ(response.body, text);
+        }
+    });
+}
+
+// Guards against reading a late answer as the answer to the next request.
+TEST(HttpClientConnection, TimeoutClosesTheConnectionWithOutcomeUnknown)
+{
+    runWithServer([]() -> awaitable<void> {
+        HttpClientConnection connection(co_await asio::this_coro::executor);
+        co_await connection.connect(TestEndpoint, 1s);
+        HttpRequest request;
+        request.target = "/slow";
+        try {
+            co_await connection.exchange(request, 50ms);
+            ADD_FAILURE() << "the exchange should have timed out";
+        } catch (const core::Error &error) {
+            EXPECT_EQ(error.code, core::ResultCode::AnswerLost);
+            EXPECT_EQ(error.outcome, core::Outcome::Unknown);
+        }
+        EXPECT_FALSE(connection.isOpen());
+    });
+}
+
+// Guards against a malformed or oversized request that ends the process or another connection.
+TEST(HttpServer, BadRequestsGetANumberedErrorAndCloseOnlyTheirConnection)
+{
+    runWithServer([]() -> awaitable<void> {
+        const std::pair<std::string, std::string> cases[] = {
+            {"nonsense\r\n\r\n", "\"code\":101"},
+            {"POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n", "\"code\":102"},
+        };
+        for (const auto &[bytes, expected] : cases) {
+            asio::ip::tcp::socket socket(co_await asio::this_coro::executor);
+            co_await socket.async_connect(TestEndpoint, asio::use_awaitable);
+            co_await asio::async_write(socket, asio::buffer(bytes), asio::use_awaitable);
+            std::string answer;
+            boost::system::error_code readError;
+            co_await asio::async_read(
+                socket, asio::dynamic_buffer(answer), asio::redirect_error(asio::use_awaitable, readError));
+            EXPECT_NE(answer.find(expected), std::string::npos) << answer;
+        }
+        HttpRequest request;
+        const HttpResponse response = co_await exchangeOnce(TestEndpoint, request, 1s);
+        EXPECT_EQ(response.status, 200);
+    });
+}
+
+}
