Add the stand-in database server

Cause: the proxy needs backend servers with terms, fences, asynchronous replication and request-id records to be developed and tested against.

--- /dev/null
+++ b/standins/databaseledger.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "net/httpmessage.h"
+#include "standins/databasestate.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace endiveshore::standins {
+
+/// Record of what a stand-in database server saw, for tests that check the proxy from the outside. Pure.
+class DatabaseLedger
+{
+public:
+    void statementRun(const StatementRequest &request, const StatementAnswer &answer, const net::HttpHeaders &headers);
+    void commitRun(const std::string &transaction,
+                   const std::string &requestId,
+                   const StatementAnswer &answer,
+                   const net::HttpHeaders &headers);
+    void slotsUsed(int count);
+    void slotRefused();
+    void connectionsUsed(int count);
+    void connectionRefused();
+
+    /// Records from number @p from, at most @p limit, with the peaks and violations.
+    boost::json::object toJson(std::int64_t from, std::int64_t limit) const;
+
+private:
+    struct Record
+    {
+        std::string operation;
+        std::string key;
+        std::string requestId;
+        std::string transaction;
+        std::string workspace;
+        std::int64_t position = 0;
+        std::int64_t term = 0;
+        bool readOnly = false;
+        bool replayed = false;
+        net::HttpHeaders headers;
+    };
+
+    std::vector<Record> records;
+    std::int64_t peakSlots = 0;
+    std::int64_t peakConnections = 0;
+    std::int64_t slotViolations = 0;
+    std::int64_t connectionViolations = 0;
+};
+
+}
--- /dev/null
+++ b/tests/standins/test_databasestate.cpp
@@ -0,0 +1,160 @@
+#include "standins/databasestate.h"
+
+#include <gtest/gtest.h>
+
+namespace endiveshore::standins {
+
+namespace json = boost::json;
+
+namespace {
+
+StatementRequest write(std::int64_t term, const std::string &key, std::int64_t amount, const std::string &requestId)
+{
+    return {.term = term,
+            .statement = {.kind = Statement::Kind::Add, .key = key, .amount = amount},
+            .requestId = requestId,
+            .workspace = "coats"};
+}
+
+StatementRequest readKey(const std::string &key)
+{
+    return {.statement = {.kind = Statement::Kind::Get, .key = key}, .readOnly = true};
+}
+
+void replicate(const DatabaseState &primary, DatabaseState &replica)
+{
+    LogBatch batch;
+    const Refusal refusal = primary.read(replica.term(), replica.received(), replica.log().termStarts(), 1'000, batch);
+    ASSERT_EQ(refusal, Refusal::None);
+    ASSERT_TRUE(replica.append(LogBatch::fromJson(batch.toJson())));
+    replica.apply(replica.received());
+}
+
+}
+
+// Guards against a stand-in that acknowledges or reads with a replaced primary.
+TEST(DatabaseState, FencedPrimaryRefusesStatementsAndLogReads)
+{
+    DatabaseState primary(true, "", 0);
+    EXPECT_EQ(primary.execute(write(1, "a", 1, "r1")).position, 1);
+    EXPECT_TRUE(primary.fence(2, "home").granted);
+    EXPECT_EQ(primary.execute(write(1, "a", 1, "r2")).refusal, Refusal::Fenced);
+    EXPECT_EQ(primary.execute(readKey("a")).refusal, Refusal::Fenced);
+    LogBatch batch;
+    EXPECT_EQ(primary.read(1, 0, {}, 0, batch), Refusal::Fenced);
+}
+
+// Guards against two owners of one term, and against an owner that promotes a server after it followed another.
+TEST(DatabaseState, TermIsGrantedToOneOwner)
+{
+    DatabaseState server(false, "x", 0);
+    EXPECT_TRUE(server.fence(2, "first").granted);
+    EXPECT_TRUE(server.fence(2, "first").granted);
+    EXPECT_FALSE(server.fence(2, "second").granted);
+    EXPECT_FALSE(server.promote(2, "second").promoted);
+    EXPECT_EQ(server.follow(2, "y"), Refusal::None);
+    EXPECT_FALSE(server.promote(2, "first").promoted);
+}
+
+// Guards against a log append of a lower term after a fence, which would hide an entry from the promoter.
+TEST(DatabaseState, FencedReplicaRefusesOldBatches)
+{
+    DatabaseState primary(true, "", 0);
+    DatabaseState replica(false, "p", 0);
+    primary.execute(write(1, "a", 1, "r1"));
+    LogBatch batch;
+    ASSERT_EQ(primary.read(1, 0, replica.log().termStarts(), 0, batch), Refusal::None);
+    EXPECT_TRUE(replica.fence(2, "home").granted);
+    EXPECT_FALSE(replica.append(batch));
+    EXPECT_EQ(replica.received(), 0);
+    EXPECT_FALSE(replica.wait(1, 0).reached);
+}
+
+// Guards against a returned primary that keeps entries which the new primary does not have.
+TEST(DatabaseState, ReturnedPrimaryCutsItsTail)
+{
+    DatabaseState old(true, "", 0);
+    DatabaseState replica(false, "old", 0);
+    old.execute(write(1, "a", 1, "r1"));
+    replicate(old, replica);
+    old.execute(write(1, "a", 10, "r2"));
+
+    replica.fence(2, "home");
+    EXPECT_TRUE(replica.promote(2, "home").promoted);
+    replica.execute(write(2, "a", 100, "r3"));
+    EXPECT_EQ(old.follow(2, "replica"), Refusal::None);
+    EXPECT_EQ(old.execute(readKey("a")).refusal, Refusal::Behind);
+    replicate(replica, old);
+    EXPECT_EQ(old.execute(readKey("a")).result.as_int64(), 101);
+    EXPECT_EQ(old.log().termStarts(), replica.log().termStarts());
+    EXPECT_TRUE(old.wait(2, 3).reached);
+
+    StatementRequest ahead = readKey("a");
+    ahead.minTerm = 1;
+    ahead.minPosition = 2;
+    EXPECT_EQ(old.execute(ahead).refusal, Refusal::Diverged);
+    ahead.minPosition = 1;
+    EXPECT_EQ(old.execute(ahead).refusal, Refusal::None);
+}
+
+// Guards against a repeated request id that runs twice, also after a promotion.
+TEST(DatabaseState, RepeatedRequestIdGetsTheRecordedAnswer)
+{
+    DatabaseState old(true, "", 0);
+    DatabaseState replica(false, "old", 0);
+    old.execute(write(1, "a", 5, "r1"));
+    replicate(old, replica);
+    replica.fence(2, "home");
+    replica.promote(2, "home");
+    const StatementAnswer answer = replica.execute(write(2, "a", 5, "r1"));
+    EXPECT_TRUE(answer.replayed);
+    EXPECT_EQ(answer.result.as_int64(), 5);
+    EXPECT_EQ(answer.term, 1);
+    EXPECT_EQ(answer.position, 1);
+}
+
+// Guards against mixed transactions and visible uncommitted statements.
+TEST(DatabaseState, TransactionsAreIsolatedAndCommitAsOneEntry)
+{
+    DatabaseState primary(true, "", 0);
+    ASSERT_EQ(primary.begin("t1", 1, "coats"), Refusal::None);
+    ASSERT_EQ(primary.begin("t2", 1, "coats"), Refusal::None);
+    StatementRequest first = write(1, "a", 1, "r1");
+    first.transaction = "t1";
+    EXPECT_EQ(primary.execute(first).result.as_int64(), 1);
+    EXPECT_TRUE(primary.execute(first).replayed);
+    EXPECT_TRUE(primary.execute(readKey("a")).result.is_null());
+    StatementRequest second = write(1, "a", 1, "r2");
+    second.transaction = "t2";
+    EXPECT_EQ(primary.execute(second).refusal, Refusal::Locked);
+    EXPECT_EQ(primary.execute(write(1, "a", 1, "r3")).refusal, Refusal::Locked);
+    EXPECT_EQ(primary.commit("t1", "c1").position, 1);
+    EXPECT_EQ(primary.execute(second).result.as_int64(), 2);
+    primary.abort("t2");
+    EXPECT_EQ(primary.execute(readKey("a")).result.as_int64(), 1);
+    EXPECT_TRUE(primary.commit("t1", "c1").replayed);
+    EXPECT_TRUE(primary.execute(write(1, "a", 1, "r1")).replayed);
+    EXPECT_EQ(primary.commit("t2", "c2").refusal, Refusal::UnknownTransaction);
+}
+
+// Guards against a lag that grows while the group is idle or ignores unapplied entries.
+TEST(DatabaseState, LagFollowsTheNewestAppliedKeepalive)
+{
+    DatabaseState primary(true, "", 0);
+    DatabaseState replica(false, "p", 0);
+    LogBatch keepalive;
+    ASSERT_EQ(primary.read(1, 0, replica.log().termStarts(), 500, keepalive), Refusal::None);
+    EXPECT_TRUE(replica.append(keepalive));
+    EXPECT_EQ(replica.lagMs(510), 10);
+    primary.execute(write(1, "a", 1, ""));
+    LogBatch batch;
+    ASSERT_EQ(primary.read(1, 0, replica.log().termStarts(), 600, batch), Refusal::None);
+    EXPECT_TRUE(replica.append(batch));
+    EXPECT_EQ(replica.received(), 1);
+    EXPECT_EQ(replica.applied(), 0);
+    EXPECT_EQ(replica.lagMs(610), 110);
+    replica.apply(1);
+    EXPECT_EQ(replica.lagMs(610), 10);
+}
+
+}
