--- /dev/null
+++ b/tests/standins/test_faultproxy.cpp
@@ -0,0 +1,139 @@
+#include "core/error.h"
+#include "net/httpclient.h"
+#include "standins/faultproxy.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+
+#include <gtest/gtest.h>
+
+namespace endiveshore::standins {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+namespace {
+
+const net::TcpEndpoint Target(asio::ip::address_v4::loopback(), 23050);
+const net::TcpEndpoint Front(asio::ip::address_v4::loopback(), 23051);
+const net::TcpEndpoint Control(asio::ip::address_v4::loopback(), 23052);
+
+net::awaitable<void> setFault(std::string_view change)
+{
+    net::HttpRequest request;
+    request.method = "POST";
+    request.target = "/control";
+    request.body = change;
+    const net::HttpResponse response = co_await net::exchangeOnce(Control, request, 1s);
+    EXPECT_EQ(response.status, 200) << response.body;
+}
+
+net::awaitable<bool> answers(net::HttpClientConnection &connection)
+{
+    const net::HttpRequest request;
+    try {
+        const net::HttpResponse response = co_await connection.exchange(request, 150ms);
+        co_return response.status == 200;
+    } catch (const core::Error &) {
+        co_return false;
+    }
+}
+
+net::awaitable<void> open(net::HttpClientConnection &connection)
+{
+    co_await connection.connect(Front, 1s);
+}
+
+template<typename Body>
+void run(Body body)
+{
+    asio::io_context context(1);
+    auto server = std::make_shared<net::HttpServer>(
+        [](net::HttpRequest, net::HttpConnection &) -> net::awaitable<net::HttpResponse> {
+            co_return net::HttpResponse{.status = 200, .headers = {}, .body = "ok"};
+        });
+    server->listen(context.get_executor(), Target);
+    FaultProxy proxy(context, {{.listen = Front, .target = Target}}, Control);
+    proxy.start();
+    std::exception_ptr failure;
+    asio::co_spawn(context, body(), [&](std::exception_ptr exception) {
+        failure = exception;
+        context.stop();
+    });
+    context.run_for(10s);
+    EXPECT_TRUE(context.stopped()) << "the test did not end";
+    if (failure) {
+        std::rethrow_exception(failure);
+    }
+}
+
+}
+
+// Guards against a silent connection fault that also affects new connections, or that ends by itself.
+TEST(FaultProxy, SilencedConnectionsStaySilentWhileNewOnesWork)
+{
+    run([]() -> net::awaitable<void> {
+        net::HttpClientConnection first(co_await asio::this_coro::executor);
+        co_await open(first);
+        EXPECT_TRUE(co_await answers(first));
+        co_await setFault(R"({"route":0,"silence_open":true})");
+        EXPECT_FALSE(co_await answers(first));
+        net::HttpClientConnection second(co_await asio::this_coro::executor);
+        co_await open(second);
+        EXPECT_TRUE(co_await answers(second));
+    });
+}
+
+// Guards against a cut that closes connections, cuts the wrong way or stays after it is lifted.
+TEST(FaultProxy, CutSwallowsBytesUntilLifted)
+{
+    run([]() -> net::awaitable<void> {
+        static constexpr std::string_view Cuts[] = {"both", "to_target", "from_target"};
+        for (const std::string_view cut : Cuts) {
+            net::HttpClientConnection connection(co_await asio::this_coro::executor);
+            co_await open(connection);
+            EXPECT_TRUE(co_await answers(connection));
+            const std::string change = R"({"route":0,"cut":")" + std::string(cut) + R"("})";
+            co_await setFault(change);
+            EXPECT_FALSE(co_await answers(connection)) << cut;
+            co_await setFault(R"({"route":0,"cut":"none"})");
+            net::HttpClientConnection later(co_await asio::this_coro::executor);
+            co_await open(later);
+            EXPECT_TRUE(co_await answers(later)) << cut;
+        }
+    });
+}
+
+// Guards against a delay that is not applied in both directions.
+TEST(FaultProxy, DelayAddsUpInBothDirections)
+{
+    run([]() -> net::awaitable<void> {
+        net::HttpClientConnection connection(co_await asio::this_coro::executor);
+        co_await open(connection);
+        co_await setFault(R"({"route":0,"delay_ms":40})");
+        const auto start = std::chrono::steady_clock::now();
+        EXPECT_TRUE(co_await answers(connection));
+        EXPECT_GE(std::chrono::steady_clock::now() - start, 80ms);
+    });
+}
+
+// Guards against a refusal that leaves open connections alive.
+TEST(FaultProxy, RefuseClosesOpenAndNewConnections)
+{
+    run([]() -> net::awaitable<void> {
+        net::HttpClientConnection connection(co_await asio::this_coro::executor);
+        co_await open(connection);
+        EXPECT_TRUE(co_await answers(connection));
+        co_await setFault(R"({"route":0,"refuse":true})");
+        const auto start = std::chrono::steady_clock::now();
+        EXPECT_FALSE(co_await answers(connection));
+        EXPECT_LT(std::chrono::steady_clock::now() - start, 100ms);
+        co_await setFault(R"({"route":0,"refuse":false})");
+        net::HttpClientConnection later(co_await asio::this_coro::executor);
+        co_await open(later);
+        EXPECT_TRUE(co_await answers(later));
+    });
+}
+
+}
