--- /dev/null
+++ b/failover/groupmonitor.cpp
@@ -0,0 +1,315 @@
+#include "failover/groupmonitor.h"
+
+#include "core/hashing.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace endiveshore::failover {
+
+namespace {
+
+// Reports older than this say nothing about the present state of a group.
+constexpr core::Milliseconds ReportLifetime{2'000};
+
+}
+
+GroupMonitor::GroupMonitor(
+    GroupDescription group, std::string daemon, std::string dataCentre, std::uint64_t seed, MonitorOptions options)
+    : group(std::move(group))
+    , daemon(std::move(daemon))
+    , dataCentre(std::move(dataCentre))
+    , options(options)
+    , random(seed)
+    , knownPrimary(this->group.initialPrimary)
+{
+    // A restarted daemon must not continue a term that its former self was granted.
+    this->owner = this->daemon + "#" + std::to_string(this->random());
+    for (const GroupServer &server : this->group.servers) {
+        this->servers[server.id].nextProbe = core::TimePoint::min();
+    }
+}
+
+void GroupMonitor::setHomes(std::set<std::string> ownServers, std::vector<PeerHome> peers)
+{
+    this->ownServers = std::move(ownServers);
+    this->peers = std::move(peers);
+}
+
+std::int64_t GroupMonitor::term() const
+{
+    return this->knownTerm;
+}
+
+const std::string &GroupMonitor::primary() const
+{
+    return this->knownPrimary;
+}
+
+bool GroupMonitor::suspectsPrimary() const
+{
+    const auto found = this->servers.find(this->knownPrimary);
+    return found != this->servers.end() && found->second.known.misses >= this->options.missesBeforeSuspicion;
+}
+
+const GroupMonitor::KnownServer &GroupMonitor::server(const std::string &id) const
+{
+    return this->servers.at(id).known;
+}
+
+const GroupDescription &GroupMonitor::description() const
+{
+    return this->group;
+}
+
+bool GroupMonitor::isValidPrimary(const ServerReport &report) const
+{
+    return report.primary && report.fencedTerm <= report.term;
+}
+
+bool GroupMonitor::isProbed(const std::string &id, core::TimePoint now) const
+{
+    return id == this->knownPrimary || this->ownServers.contains(id) || this->disorderSince
+        || this->phase != Phase::Watching || now < this->settledAt;
+}
+
+bool GroupMonitor::isDisordered(core::TimePoint now) const
+{
+    for (const auto &[id, watched] : this->servers) {
+        const ServerReport &report = watched.known.report;
+        const bool fresh = watched.known.answered && now - watched.known.reportedAt < ReportLifetime;
+        if (!fresh) {
+            continue;
+        }
+        const bool lostRole = id == this->knownPrimary && (!report.primary || report.term != this->knownTerm);
+        if (lostRole || std::max(report.fencedTerm, report.term) > this->knownTerm) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::size_t GroupMonitor::majority() const
+{
+    return this->servers.size() / 2 + 1;
+}
+
+std::size_t GroupMonitor::rank() const
+{
+    std::vector<std::string> homes{this->daemon};
+    for (const PeerHome &peer : this->peers) {
+        homes.push_back(peer.daemon);
+    }
+    const std::string key = this->group.database + "#" + std::to_string(this->knownTerm);
+    const std::vector<std::string> order = core::rendezvousOrder(key, homes);
+    return static_cast<std::size_t>(std::find(order.begin(), order.end(), this->daemon) - order.begin());
+}
+
+core::Milliseconds GroupMonitor::randomUpTo(core::Milliseconds limit)
+{
+    // The standard distributions differ between libraries; the remainder keeps seeded runs the same everywhere.
+    return core::Milliseconds(
+        static_cast<std::int64_t>(this->random() % static_cast<std::uint64_t>(limit.count() + 1)));
+}
+
+std::int64_t GroupMonitor::highestFence() const
+{
+    std::int64_t highest = this->knownTerm;
+    for (const auto &[id, watched] : this->servers) {
+        highest = std::max({highest, watched.known.report.fencedTerm, watched.known.report.term});
+    }
+    return highest;
+}
+
+Actions GroupMonitor::tick(core::TimePoint now)
+{
+    Actions actions;
+    this->probeDue(now, actions);
+    this->checkDisorder(now, actions);
+    this->tickPhase(now, actions);
+    return actions;
+}
+
+void GroupMonitor::probe(Watched &watched, const std::string &id, bool newConnection, Actions &actions)
+{
+    bool &pending = newConnection ? watched.probingNew : watched.probing;
+    if (!pending) {
+        pending = true;
+        actions.push_back(ProbeServer{.server = id, .newConnection = newConnection});
+    }
+}
+
+void GroupMonitor::probeDue(core::TimePoint now, Actions &actions)
+{
+    for (auto &[id, watched] : this->servers) {
+        if (now < watched.nextProbe || watched.probing || watched.probingNew || !this->isProbed(id, now)) {
+            continue;
+        }
+        // The jitter keeps the homes of a group from probing in step.
+        const core::Milliseconds jitter = this->options.probeInterval / 10;
+        watched.nextProbe = now + this->options.probeInterval - this->randomUpTo(jitter);
+        // After a miss only a new connection can tell whether the server is back.
+        this->probe(watched, id, watched.known.misses > 0, actions);
+    }
+}
+
+Actions GroupMonitor::probeAnswered(const std::string &server,
+                                    const ServerReport &report,
+                                    bool newConnection,
+                                    core::TimePoint now)
+{
+    Actions actions;
+    const auto found = this->servers.find(server);
+    if (found == this->servers.end()) {
+        return actions;
+    }
+    Watched &watched = found->second;
+    (newConnection ? watched.probingNew : watched.probing) = false;
+    watched.known.report = report;
+    watched.known.reportedAt = now;
+    watched.known.answered = true;
+    watched.known.misses = 0;
+    watched.surveyed = true;
+    const bool valid = this->isValidPrimary(report);
+    if (newConnection || !valid) {
+        this->answerAskers(watched, !valid, actions);
+    }
+    if (valid && (report.term > this->knownTerm || (report.term == this->knownTerm && this->knownPrimary.empty()))) {
+        this->learnPrimary(report.term, server, true, "it reports to be primary", now, actions);
+    }
+    const bool beforeFencing
+        = this->phase == Phase::Confirming || this->phase == Phase::Waiting || this->phase == Phase::Surveying;
+    if (valid && server == this->knownPrimary && report.term == this->knownTerm && beforeFencing
+        && this->attempt.reason == Reason::Suspicion) {
+        this->cancel("the primary answers again", actions);
+    }
+    this->followIfNeeded(server, now, actions);
+    this->checkDisorder(now, actions);
+    if (this->phase == Phase::Surveying) {
+        this->resolveSurvey(now, actions);
+    }
+    return actions;
+}
+
+Actions GroupMonitor::probeFailed(const std::string &server, bool newConnection, core::TimePoint now)
+{
+    Actions actions;
+    const auto found = this->servers.find(server);
+    if (found == this->servers.end()) {
+        return actions;
+    }
+    Watched &watched = found->second;
+    (newConnection ? watched.probingNew : watched.probing) = false;
+    if (!newConnection) {
+        // The connection may be the only thing that failed.
+        this->probe(watched, server, true, actions);
+        return actions;
+    }
+    if (watched.known.misses++ == 0) {
+        watched.firstMiss = now;
+    }
+    this->answerAskers(watched, true, actions);
+    watched.surveyed = true;
+    if (this->phase == Phase::Surveying) {
+        this->resolveSurvey(now, actions);
+    }
+    if (server == this->knownPrimary && this->phase == Phase::Watching && !this->disorderSince
+        && watched.known.misses >= this->options.missesBeforeSuspicion && now >= this->nextAsk) {
+        this->beginConfirming(now, actions);
+    }
+    return actions;
+}
+
+void GroupMonitor::answerAskers(Watched &watched, bool suspects, Actions &actions)
+{
+    for (const std::uint64_t token : watched.askedBy) {
+        actions.push_back(AnswerPeer{.token = token, .suspects = suspects});
+    }
+    watched.askedBy.clear();
+}
+
+Actions GroupMonitor::peerAsked(std::uint64_t token, const std::string &server, std::int64_t term, core::TimePoint)
+{
+    Actions actions;
+    const auto found = this->servers.find(server);
+    if (found == this->servers.end() || term < this->knownTerm) {
+        actions.push_back(AnswerPeer{.token = token, .suspects = false});
+        return actions;
+    }
+    if (found->second.known.misses > 0) {
+        actions.push_back(AnswerPeer{.token = token, .suspects = true});
+        return actions;
+    }
+    found->second.askedBy.push_back(token);
+    this->probe(found->second, server, true, actions);
+    return actions;
+}
+
+Actions GroupMonitor::announced(std::int64_t term, const std::string &server, core::TimePoint now)
+{
+    Actions actions;
+    if (term > this->knownTerm && this->servers.contains(server)) {
+        this->learnPrimary(term, server, false, "gossip", now, actions);
+    }
+    return actions;
+}
+
+void GroupMonitor::learnPrimary(
+    std::int64_t term, const std::string &id, bool spread, std::string reason, core::TimePoint now, Actions &actions)
+{
+    actions.push_back(
+        LogDecision{.decision = "primary of " + this->group.database + " is " + id + " in term " + std::to_string(term),
+                    .reason = std::move(reason),
+                    .alternatives = "before: " + this->knownPrimary + " in term " + std::to_string(this->knownTerm)});
+    this->knownTerm = term;
+    this->knownPrimary = id;
+    this->settledAt = now + this->options.settleTime;
+    this->disorderSince.reset();
+    // Misses of a server that only now becomes primary must not start a suspicion at once.
+    this->servers[id].known.misses = 0;
+    actions.push_back(PrimaryChanged{.term = term, .server = id, .spread = spread});
+    // Servers that granted an attempt's higher term are stuck until that attempt or a later one ends.
+    const bool fencesSent = this->phase == Phase::Fencing || this->phase == Phase::Promoting;
+    if (this->phase != Phase::Watching && (!fencesSent || this->attempt.term <= term)) {
+        this->cancel("a primary of term " + std::to_string(term) + " exists", actions);
+    }
+    for (const auto &[other, watched] : this->servers) {
+        this->followIfNeeded(other, now, actions);
+    }
+}
+
+void GroupMonitor::followIfNeeded(const std::string &id, core::TimePoint now, Actions &actions)
+{
+    const Watched &watched = this->servers.at(id);
+    const ServerReport &report = watched.known.report;
+    const bool fresh = watched.known.answered && now - watched.known.reportedAt < ReportLifetime;
+    if (!fresh || id == this->knownPrimary || report.term >= this->knownTerm || report.fencedTerm > this->knownTerm) {
+        return;
+    }
+    for (const GroupServer &server : this->group.servers) {
+        if (server.id == this->knownPrimary) {
+            actions.push_back(FollowServer{.server = id, .term = this->knownTerm, .primaryAddress = server.address});
+        }
+    }
+}
+
+void GroupMonitor::checkDisorder(core::TimePoint now, Actions &actions)
+{
+    if (!this->isDisordered(now)) {
+        this->disorderSince.reset();
+        return;
+    }
+    if (!this->disorderSince) {
+        this->disorderSince = now;
+    }
+    const auto wait = this->options.repairWait + static_cast<int>(this->rank()) * this->options.rankDelay;
+    if (this->phase == Phase::Watching && now - *this->disorderSince >= wait) {
+        this->beginAttempt(Reason::Disorder,
+                           false,
+                           "term " + std::to_string(this->highestFence()) + " was granted without a primary",
+                           now,
+                           actions);
+    }
+}
+
+}
--- /dev/null
+++ b/failover/groupmonitor.h
@@ -0,0 +1,197 @@
+#pragma once
+
+#include "core/time.h"
+#include "failover/messages.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace endiveshore::failover {
+
+struct GroupServer
+{
+    std::string id;
+    std::string address; ///< "ip:port", also given to the servers that follow it.
+    std::string dataCentre;
+};
+
+/// Servers of one database.
+struct GroupDescription
+{
+    std::string database;
+    std::vector<GroupServer> servers;
+    std::string initialPrimary; ///< Primary of term 1.
+};
+
+/// Another daemon that is home of a server of the group.
+struct PeerHome
+{
+    std::string daemon;
+    std::string dataCentre;
+    std::vector<std::string> servers; ///< Servers of the group whose home it is.
+};
+
+struct MonitorOptions
+{
+    core::Milliseconds probeInterval{300};
+    core::Milliseconds probeTimeout{300}; ///< For one probe; the caller of the monitor keeps it.
+    int missesBeforeSuspicion = 2;
+    core::Milliseconds confirmTimeout{400};
+    core::Milliseconds askAgainAfter{600}; ///< After other homes denied a suspicion.
+    core::Milliseconds homeOverrideAfter{
+        2'500}; ///< The primary's home acts despite denials, as it cannot serve writes.
+    core::Milliseconds rankDelay{150}; ///< Per rendezvous rank, before an attempt.
+    core::Milliseconds jitter{60};
+    core::Milliseconds resendAfter{200}; ///< Fence and promote calls without an answer.
+    core::Milliseconds fenceTimeout{700};
+    core::Milliseconds promoteTimeout{900};
+    core::Milliseconds rivalWait{500}; ///< Time given to a rival whose fence was seen.
+    core::Milliseconds repairWait{800}; ///< Before a group without a valid primary is repaired.
+    core::Milliseconds settleTime{3'000}; ///< All servers are probed for this long after a change of primary.
+    core::Milliseconds unconfirmedLag{900}; ///< Lag of the replicas required to act without another home's word.
+};
+
+/// Suspicion, confirmation, fencing and promotion for one database group, as seen by one daemon. Pure: calls carry the
+/// time, the returned actions are carried out by the caller, and random numbers come from the seed.
+///
+/// A term has at most one primary because servers grant a term to one owner, owners differ between monitors, and a
+/// monitor sends promote for a term to one server only. An attempt that fails is followed by one with a higher term.
+class GroupMonitor
+{
+public:
+    GroupMonitor(GroupDescription group,
+                 std::string daemon,
+                 std::string dataCentre,
+                 std::uint64_t seed,
+                 MonitorOptions options = {});
+
+    /// Sets the servers whose home this daemon is and the other homes of the group.
+    void setHomes(std::set<std::string> ownServers, std::vector<PeerHome> peers);
+
+    Actions tick(core::TimePoint now);
+    Actions
+    probeAnswered(const std::string &server, const ServerReport &report, bool newConnection, core::TimePoint now);
+    Actions probeFailed(const std::string &server, bool newConnection, core::TimePoint now);
+    Actions peerAnswered(const std::string &daemon, std::uint64_t ask, Verdict verdict, core::TimePoint now);
+    Actions fenceAnswered(const std::string &server, std::int64_t term, const FenceReply &reply, core::TimePoint now);
+    Actions promoteAnswered(const std::string &server, std::int64_t term, bool promoted, core::TimePoint now);
+
+    /// A primary learned from gossip.
+    Actions announced(std::int64_t term, const std::string &server, core::TimePoint now);
+
+    /// Another home suspects @p server as primary of @p term; answered by AnswerPeer with @p token.
+    Actions peerAsked(std::uint64_t token, const std::string &server, std::int64_t term, core::TimePoint now);
+
+    struct KnownServer
+    {
+        ServerReport report;
+        core::TimePoint reportedAt;
+        bool answered = false; ///< A report exists.
+        int misses = 0; ///< Probes on new connections that failed since the last answer.
+    };
+
+    std::int64_t term() const;
+    const std::string &primary() const;
+    bool suspectsPrimary() const;
+    const KnownServer &server(const std::string &id) const;
+    const GroupDescription &description() const;
+
+private:
+    enum class Phase {
+        Watching,
+        Confirming,
+        Waiting,
+        Surveying,
+        Fencing,
+        Promoting,
+    };
+
+    enum class Reason {
+        Suspicion, ///< The primary does not answer.
+        Disorder, ///< A term above the primary's was granted, and no primary of it is known.
+    };
+
+    struct Watched
+    {
+        KnownServer known;
+        core::TimePoint nextProbe;
+        core::TimePoint firstMiss;
+        bool probing = false;
+        bool probingNew = false;
+        bool surveyed = false;
+        std::vector<std::uint64_t> askedBy;
+    };
+
+    struct Attempt
+    {
+        Reason reason = Reason::Suspicion;
+        bool confirmed = false;
+        std::int64_t baselineFence = 0; ///< A higher fenced term in a survey is the work of a rival.
+        std::int64_t term = 0;
+        std::map<std::string, FenceReply> granted;
+        std::set<std::string> refused;
+        std::string candidate;
+        core::TimePoint resendAt;
+    };
+
+    bool isValidPrimary(const ServerReport &report) const;
+    bool isProbed(const std::string &id, core::TimePoint now) const;
+    bool isDisordered(core::TimePoint now) const;
+    std::size_t majority() const;
+    std::size_t rank() const;
+    core::Milliseconds randomUpTo(core::Milliseconds limit);
+    std::int64_t highestFence() const;
+
+    void probe(Watched &watched, const std::string &id, bool newConnection, Actions &actions);
+    void probeDue(core::TimePoint now, Actions &actions);
+    void checkDisorder(core::TimePoint now, Actions &actions);
+    void learnPrimary(std::int64_t term,
+                      const std::string &id,
+                      bool spread,
+                      std::string reason,
+                      core::TimePoint now,
+                      Actions &actions);
+    void followIfNeeded(const std::string &id, core::TimePoint now, Actions &actions);
+    void answerAskers(Watched &watched, bool suspects, Actions &actions);
+
+    void beginConfirming(core::TimePoint now, Actions &actions);
+    void resolveConfirming(core::TimePoint now, Actions &actions);
+    void beginAttempt(Reason reason, bool confirmed, std::string why, core::TimePoint now, Actions &actions);
+    void waitBeforeSurvey(core::Milliseconds delay, core::TimePoint now);
+    void beginSurvey(core::TimePoint now, Actions &actions);
+    void resolveSurvey(core::TimePoint now, Actions &actions);
+    void beginFencing(core::TimePoint now, Actions &actions);
+    void resolveFencing(core::TimePoint now, Actions &actions);
+    void beginPromoting(core::TimePoint now, Actions &actions);
+    void retreat(std::string reason, core::Milliseconds delay, core::TimePoint now, Actions &actions);
+    void cancel(std::string reason, Actions &actions);
+    void tickPhase(core::TimePoint now, Actions &actions);
+
+    GroupDescription group;
+    std::string daemon;
+    std::string dataCentre;
+    std::string owner;
+    MonitorOptions options;
+    std::mt19937_64 random;
+    std::set<std::string> ownServers;
+    std::vector<PeerHome> peers;
+    std::map<std::string, Watched> servers;
+    std::int64_t knownTerm = 1;
+    std::string knownPrimary;
+    std::int64_t lastAttemptTerm = 0;
+    core::TimePoint settledAt;
+    std::optional<core::TimePoint> disorderSince;
+    core::TimePoint nextAsk;
+    Phase phase = Phase::Watching;
+    core::TimePoint phaseEnd;
+    Attempt attempt;
+    std::uint64_t askNumber = 0;
+    std::map<std::string, std::optional<Verdict>> verdicts;
+};
+
+}
--- /dev/null
+++ b/failover/messages.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// Inputs and outputs of GroupMonitor.
+namespace endiveshore::failover {
+
+/// Start of a term in a server's log: entries after position `start` belong to the term.
+struct TermStart
+{
+    std::int64_t term = 0;
+    std::int64_t start = 0;
+
+    bool operator==(const TermStart &other) const = default;
+};
+
+/// What a server reported about itself.
+struct ServerReport
+{
+    bool primary = false;
+    std::int64_t term = 0;
+    std::int64_t fencedTerm = 0;
+    std::int64_t position = 0; ///< Applied.
+    std::int64_t received = 0;
+    std::int64_t lagMs = 0;
+    std::vector<TermStart> termStarts;
+
+    bool operator==(const ServerReport &other) const = default;
+};
+
+/// Answer of a server to a fence call.
+struct FenceReply
+{
+    bool granted = false;
+    std::int64_t fencedTerm = 0;
+    std::int64_t lastTerm = 0;
+    std::int64_t received = 0;
+};
+
+/// Answer of another home to a suspicion.
+enum class Verdict {
+    Confirms,
+    Denies,
+    Unreachable,
+};
+
+/// Ask a server for its status. Every probe is answered by probeAnswered() or probeFailed().
+struct ProbeServer
+{
+    std::string server;
+    bool newConnection = false; ///< A new connection is required; otherwise an open one is preferred.
+};
+
+/// Ask another home whether it reaches the server. Answered by peerAnswered() with the same number.
+struct AskPeer
+{
+    std::string daemon;
+    std::string server;
+    std::int64_t term = 0;
+    std::uint64_t ask = 0;
+};
+
+/// Answer to peerAsked().
+struct AnswerPeer
+{
+    std::uint64_t token = 0;
+    bool suspects = false;
+};
+
+struct FenceServer
+{
+    std::string server;
+    std::int64_t term = 0;
+    std::string owner;
+};
+
+struct PromoteServer
+{
+    std::string server;
+    std::int64_t term = 0;
+    std::string owner;
+};
+
+struct FollowServer
+{
+    std::string server;
+    std::int64_t term = 0;
+    std::string primaryAddress;
+};
+
+/// A later primary is known. With @p spread the news did not come from gossip and must be announced there.
+struct PrimaryChanged
+{
+    std::int64_t term = 0;
+    std::string server;
+    bool spread = false;
+};
+
+/// A decision for the log, with its reason and the alternatives.
+struct LogDecision
+{
+    std::string decision;
+    std::string reason;
+    std::string alternatives;
+};
+
+using Action = std::
+    variant<ProbeServer, AskPeer, AnswerPeer, FenceServer, PromoteServer, FollowServer, PrimaryChanged, LogDecision>;
+using Actions = std::vector<Action>;
+
+}
--- /dev/null
+++ b/failover/promotion.cpp
@@ -0,0 +1,335 @@
+#include "failover/groupmonitor.h"
+
+#include <algorithm>
+#include <tuple>
+
+/// Phases of GroupMonitor from the first suspicion to the promotion.
+namespace endiveshore::failover {
+
+void GroupMonitor::beginConfirming(core::TimePoint now, Actions &actions)
+{
+    this->phase = Phase::Confirming;
+    this->phaseEnd = now + this->options.confirmTimeout;
+    this->attempt = Attempt{.reason = Reason::Suspicion};
+    this->verdicts.clear();
+    ++this->askNumber;
+    std::string asked;
+    for (const PeerHome &peer : this->peers) {
+        this->verdicts[peer.daemon] = std::nullopt;
+        asked += (asked.empty() ? "" : ", ") + peer.daemon;
+        actions.push_back(AskPeer{
+            .daemon = peer.daemon, .server = this->knownPrimary, .term = this->knownTerm, .ask = this->askNumber});
+    }
+    const int misses = this->servers.at(this->knownPrimary).known.misses;
+    actions.push_back(LogDecision{.decision = "suspect primary " + this->knownPrimary + " of " + this->group.database,
+                                  .reason = std::to_string(misses) + " probes on new connections failed",
+                                  .alternatives = "asked: " + asked});
+    this->resolveConfirming(now, actions);
+}
+
+Actions GroupMonitor::peerAnswered(const std::string &daemon, std::uint64_t ask, Verdict verdict, core::TimePoint now)
+{
+    Actions actions;
+    const auto found = this->verdicts.find(daemon);
+    if (this->phase == Phase::Confirming && ask == this->askNumber && found != this->verdicts.end()) {
+        found->second = verdict;
+        this->resolveConfirming(now, actions);
+    }
+    return actions;
+}
+
+void GroupMonitor::resolveConfirming(core::TimePoint now, Actions &actions)
+{
+    const bool timedOut = now >= this->phaseEnd;
+    bool pending = false;
+    bool otherCentreExists = false;
+    bool confirmed = false;
+    bool denied = false;
+    bool primaryHomeOpen = false; ///< The primary's home has not confirmed and may still deny.
+    std::string summary;
+    for (const PeerHome &peer : this->peers) {
+        otherCentreExists = otherCentreExists || peer.dataCentre != this->dataCentre;
+    }
+    for (const PeerHome &peer : this->peers) {
+        std::optional<Verdict> verdict = this->verdicts[peer.daemon];
+        if (!verdict && timedOut) {
+            verdict = Verdict::Unreachable;
+        }
+        const bool homeOfPrimary
+            = std::find(peer.servers.begin(), peer.servers.end(), this->knownPrimary) != peer.servers.end();
+        pending = pending || !verdict;
+        primaryHomeOpen = primaryHomeOpen || (homeOfPrimary && (!verdict || verdict == Verdict::Denies));
+        denied = denied || verdict == Verdict::Denies;
+        confirmed = confirmed
+            || (verdict == Verdict::Confirms && (!otherCentreExists || peer.dataCentre != this->dataCentre));
+        const char *text = "no answer";
+        if (verdict == Verdict::Confirms) {
+            text = "confirms";
+        } else if (verdict == Verdict::Denies) {
+            text = "denies";
+        }
+        summary += (summary.empty() ? "" : ", ") + peer.daemon + " " + text;
+    }
+    if (confirmed && !primaryHomeOpen) {
+        this->beginAttempt(Reason::Suspicion, true, "the primary does not answer; " + summary, now, actions);
+        return;
+    }
+    if (pending) {
+        return;
+    }
+    const core::Duration missing = now - this->servers.at(this->knownPrimary).firstMiss;
+    if (denied && this->ownServers.contains(this->knownPrimary) && missing >= this->options.homeOverrideAfter) {
+        this->beginAttempt(Reason::Suspicion, true, "this home cannot reach the primary; " + summary, now, actions);
+        return;
+    }
+    if (denied) {
+        this->nextAsk = now + this->options.askAgainAfter;
+        this->cancel("another home reaches the primary: " + summary, actions);
+        return;
+    }
+    this->beginAttempt(Reason::Suspicion, false, "the primary does not answer; acting alone; " + summary, now, actions);
+}
+
+void GroupMonitor::beginAttempt(Reason reason, bool confirmed, std::string why, core::TimePoint now, Actions &actions)
+{
+    const std::size_t rank = this->rank();
+    actions.push_back(
+        LogDecision{.decision = "prepare promotion in " + this->group.database,
+                    .reason = std::move(why),
+                    .alternatives = "rank " + std::to_string(rank) + " of " + std::to_string(this->peers.size() + 1)});
+    // Disorder was given time to end; a fence seen during a suspicion is a rival's and still gets it.
+    const std::int64_t baseline = reason == Reason::Disorder ? this->highestFence() : this->knownTerm;
+    this->attempt = Attempt{.reason = reason, .confirmed = confirmed, .baselineFence = baseline};
+    this->waitBeforeSurvey(static_cast<int>(rank) * this->options.rankDelay, now);
+    this->tickPhase(now, actions);
+}
+
+void GroupMonitor::waitBeforeSurvey(core::Milliseconds delay, core::TimePoint now)
+{
+    this->phase = Phase::Waiting;
+    this->phaseEnd = now + delay + this->randomUpTo(this->options.jitter);
+}
+
+void GroupMonitor::beginSurvey(core::TimePoint now, Actions &actions)
+{
+    this->phase = Phase::Surveying;
+    // Time for one probe on the open connection and one on a new connection.
+    this->phaseEnd = now + 2 * this->options.probeTimeout + this->options.jitter;
+    for (auto &[id, watched] : this->servers) {
+        watched.surveyed = false;
+        if (this->attempt.reason == Reason::Suspicion && id == this->knownPrimary) {
+            watched.surveyed = true;
+            continue;
+        }
+        this->probe(watched, id, false, actions);
+    }
+}
+
+void GroupMonitor::resolveSurvey(core::TimePoint now, Actions &actions)
+{
+    std::size_t reachable = 0;
+    bool pending = false;
+    std::int64_t smallestLag = std::numeric_limits<std::int64_t>::max();
+    for (const auto &[id, watched] : this->servers) {
+        if (this->attempt.reason == Reason::Suspicion && id == this->knownPrimary) {
+            continue;
+        }
+        pending = pending || !watched.surveyed;
+        const bool answered = watched.surveyed && watched.known.answered && watched.known.misses == 0;
+        reachable += answered ? 1 : 0;
+        if (answered && !watched.known.report.primary) {
+            smallestLag = std::min(smallestLag, watched.known.report.lagMs);
+        }
+    }
+    if (pending && now < this->phaseEnd) {
+        return;
+    }
+    if (reachable < this->majority()) {
+        this->retreat("no majority of the servers answers", this->options.rivalWait, now, actions);
+        return;
+    }
+    if (const std::int64_t fence = this->highestFence(); fence > this->attempt.baselineFence) {
+        this->attempt.baselineFence = fence;
+        this->retreat("another home fenced term " + std::to_string(fence), this->options.rivalWait, now, actions);
+        return;
+    }
+    // A fenced replica receives nothing, so its lag shows the primary's absence only while no fence is in the way.
+    const bool needsLag = !this->attempt.confirmed && this->attempt.reason == Reason::Suspicion;
+    if (needsLag && smallestLag < this->options.unconfirmedLag.count()) {
+        this->retreat("a replica hears the primary and no other home confirms", this->options.rivalWait, now, actions);
+        return;
+    }
+    this->beginFencing(now, actions);
+}
+
+void GroupMonitor::beginFencing(core::TimePoint now, Actions &actions)
+{
+    this->phase = Phase::Fencing;
+    this->phaseEnd = now + this->options.fenceTimeout;
+    this->attempt.term = std::max(this->highestFence(), this->lastAttemptTerm) + 1;
+    this->attempt.granted.clear();
+    this->attempt.refused.clear();
+    this->attempt.candidate.clear();
+    this->attempt.resendAt = now + this->options.resendAfter;
+    this->lastAttemptTerm = this->attempt.term;
+    actions.push_back(
+        LogDecision{.decision = "fence term " + std::to_string(this->attempt.term) + " of " + this->group.database,
+                    .reason = "a majority of the servers answers",
+                    .alternatives = "primary " + this->knownPrimary + " in term " + std::to_string(this->knownTerm)});
+    for (const auto &[id, watched] : this->servers) {
+        actions.push_back(FenceServer{.server = id, .term = this->attempt.term, .owner = this->owner});
+    }
+}
+
+Actions
+GroupMonitor::fenceAnswered(const std::string &server, std::int64_t term, const FenceReply &reply, core::TimePoint now)
+{
+    Actions actions;
+    const auto found = this->servers.find(server);
+    if (found == this->servers.end()) {
+        return actions;
+    }
+    ServerReport &report = found->second.known.report;
+    report.fencedTerm = std::max(report.fencedTerm, reply.fencedTerm);
+    if (this->phase != Phase::Fencing || term != this->attempt.term) {
+        return actions;
+    }
+    if (reply.granted) {
+        this->attempt.granted[server] = reply;
+    } else {
+        this->attempt.refused.insert(server);
+    }
+    this->resolveFencing(now, actions);
+    return actions;
+}
+
+void GroupMonitor::resolveFencing(core::TimePoint now, Actions &actions)
+{
+    if (this->attempt.granted.size() >= this->majority()) {
+        this->beginPromoting(now, actions);
+        return;
+    }
+    const bool impossible = this->servers.size() - this->attempt.refused.size() < this->majority();
+    if (impossible || now >= this->phaseEnd) {
+        this->attempt.baselineFence = this->highestFence();
+        const std::string reason = impossible ? "a rival holds term " : "too few answers to fence term ";
+        this->retreat(reason + std::to_string(this->attempt.term), this->options.rivalWait, now, actions);
+        return;
+    }
+    if (now < this->attempt.resendAt) {
+        return;
+    }
+    this->attempt.resendAt = now + this->options.resendAfter;
+    for (const auto &[id, watched] : this->servers) {
+        if (!this->attempt.granted.contains(id) && !this->attempt.refused.contains(id)) {
+            actions.push_back(FenceServer{.server = id, .term = this->attempt.term, .owner = this->owner});
+        }
+    }
+}
+
+void GroupMonitor::beginPromoting(core::TimePoint now, Actions &actions)
+{
+    // Any majority of fenced servers holds each acknowledged entry, so a suspected primary is left out if it can be.
+    const bool suspected = this->attempt.reason == Reason::Suspicion;
+    const bool leaveOut = suspected && this->attempt.granted.contains(this->knownPrimary)
+        && this->attempt.granted.size() > this->majority();
+    std::string alternatives;
+    std::tuple<std::int64_t, std::int64_t, bool> best{-1, -1, false};
+    for (const auto &[id, reply] : this->attempt.granted) {
+        alternatives += (alternatives.empty() ? "" : ", ") + id + " at (" + std::to_string(reply.lastTerm) + ", "
+            + std::to_string(reply.received) + ")";
+        if (leaveOut && id == this->knownPrimary) {
+            continue;
+        }
+        const bool preferred = (id == this->knownPrimary) != suspected;
+        const std::tuple<std::int64_t, std::int64_t, bool> value{reply.lastTerm, reply.received, preferred};
+        if (value > best) {
+            best = value;
+            this->attempt.candidate = id;
+        }
+    }
+    this->phase = Phase::Promoting;
+    this->phaseEnd = now + this->options.promoteTimeout;
+    this->attempt.resendAt = now + this->options.resendAfter;
+    actions.push_back(LogDecision{.decision = "promote " + this->attempt.candidate + " to primary of "
+                                      + this->group.database + " in term " + std::to_string(this->attempt.term),
+                                  .reason = "most advanced of a fenced majority",
+                                  .alternatives = alternatives});
+    actions.push_back(
+        PromoteServer{.server = this->attempt.candidate, .term = this->attempt.term, .owner = this->owner});
+}
+
+Actions GroupMonitor::promoteAnswered(const std::string &server, std::int64_t term, bool promoted, core::TimePoint now)
+{
+    Actions actions;
+    const bool expected
+        = this->phase == Phase::Promoting && term == this->attempt.term && server == this->attempt.candidate;
+    if (promoted && term > this->knownTerm) {
+        // The promotion stands, also if this monitor has moved on since.
+        this->learnPrimary(term, server, true, "promoted by this daemon", now, actions);
+        return actions;
+    }
+    if (!promoted && expected) {
+        this->retreat("the promotion was refused", this->options.rivalWait, now, actions);
+    }
+    return actions;
+}
+
+void GroupMonitor::retreat(std::string reason, core::Milliseconds delay, core::TimePoint now, Actions &actions)
+{
+    actions.push_back(LogDecision{.decision = "postpone promotion in " + this->group.database,
+                                  .reason = std::move(reason),
+                                  .alternatives = "next attempt after " + std::to_string(delay.count()) + " ms"});
+    this->waitBeforeSurvey(delay + this->randomUpTo(delay / 2), now);
+}
+
+void GroupMonitor::cancel(std::string reason, Actions &actions)
+{
+    this->phase = Phase::Watching;
+    this->verdicts.clear();
+    actions.push_back(
+        LogDecision{.decision = "no promotion in " + this->group.database,
+                    .reason = std::move(reason),
+                    .alternatives = "primary " + this->knownPrimary + " in term " + std::to_string(this->knownTerm)});
+}
+
+void GroupMonitor::tickPhase(core::TimePoint now, Actions &actions)
+{
+    switch (this->phase) {
+    case Phase::Watching:
+        return;
+    case Phase::Confirming:
+        this->resolveConfirming(now, actions);
+        return;
+    case Phase::Waiting:
+        if (now < this->phaseEnd) {
+            return;
+        }
+        if (this->attempt.reason == Reason::Disorder && !this->isDisordered(now)) {
+            this->cancel("the group has a valid primary again", actions);
+            return;
+        }
+        this->beginSurvey(now, actions);
+        return;
+    case Phase::Surveying:
+        this->resolveSurvey(now, actions);
+        return;
+    case Phase::Fencing:
+        this->resolveFencing(now, actions);
+        return;
+    case Phase::Promoting:
+        if (now >= this->phaseEnd) {
+            this->attempt.baselineFence = this->highestFence();
+            this->retreat("no answer to the promotion", this->options.jitter, now, actions);
+            return;
+        }
+        if (now >= this->attempt.resendAt) {
+            this->attempt.resendAt = now + this->options.resendAfter;
+            actions.push_back(
+                PromoteServer{.server = this->attempt.candidate, .term = this->attempt.term, .owner = this->owner});
+        }
+        return;
+    }
+}
+
+}
--- /dev/null
+++ b/tests/failover/groupsimulation.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "failover/groupmonitor.h"
+#include "standins/databasestate.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace endiveshore::failover {
+
+/// Group of three servers and three monitors in fake time. Messages take time, may be lost and meet faults; a write is
+/// acknowledged when a replica reports to have received it, as the daemons do.
+class GroupSimulation
+{
+public:
+    explicit GroupSimulation(std::uint64_t seed);
+
+    struct Faults
+    {
+        bool down = false; ///< Connections are refused.
+        bool paused = false; ///< Messages wait until the server resumes.
+        bool cutToServer = false;
+        bool cutFromServer = false;
+        bool cutFromReplicas = false; ///< Other servers cannot reach it either.
+    };
+
+    struct Home
+    {
+        std::unique_ptr<GroupMonitor> monitor;
+        std::string dataCentre;
+        bool alive = true;
+        std::set<std::string> unreachableServers;
+        std::set<std::string> unreachableHomes;
+    };
+
+    void run(core::Milliseconds duration);
+    core::Milliseconds now() const;
+
+    /// Runs until @p condition holds; false if it does not within @p limit.
+    bool runUntil(core::Milliseconds limit, const std::function<bool()> &condition);
+
+    void setFaults(const std::string &server, Faults faults);
+    void setLoss(int percent);
+
+    /// Highest unfenced primary among the servers that are up; empty if there is none.
+    std::string primary() const;
+    bool isWritable() const; ///< A live home knows the primary, which has a replica of its term.
+    std::string homeOf(const std::string &server) const;
+
+    standins::DatabaseState &state(const std::string &server);
+    std::map<std::string, Home> homes;
+    std::vector<std::string> decisions;
+    std::vector<std::string> violations;
+    std::map<std::int64_t, std::string> primaries; ///< By term.
+    std::size_t acknowledgedWrites() const;
+
+    /// Checks that the present primary holds each acknowledged write.
+    void checkAcknowledged();
+
+private:
+    struct Server
+    {
+        std::unique_ptr<standins::DatabaseState> state;
+        Faults faults;
+        std::vector<std::function<void()>> waiting;
+    };
+
+    struct Event
+    {
+        core::Milliseconds at;
+        std::uint64_t number;
+        std::function<void()> run;
+
+        bool operator<(const Event &other) const
+        {
+            return this->at != other.at ? this->at > other.at : this->number > other.number;
+        }
+    };
+
+    struct Write
+    {
+        std::int64_t term = 0;
+        std::int64_t position = 0;
+        std::string server;
+        std::string requestId;
+        int polls = 0;
+    };
+
+    using Clock = core::TimePoint;
+    void schedule(core::Milliseconds delay, std::function<void()> action);
+    core::TimePoint timePoint() const;
+    core::Milliseconds latency(const std::string &home, const std::string &server);
+    bool lost();
+    void perform(const std::string &home, const Actions &actions);
+    void performOne(const std::string &home, const Action &action);
+    void probe(const std::string &home, const ProbeServer &request);
+    void ask(const std::string &home, const AskPeer &request);
+
+    /// Calls @p work at the server and gives its success to @p answer at the home; a lost call times out.
+    void call(const std::string &home,
+              const std::string &server,
+              core::Milliseconds timeout,
+              std::function<void(standins::DatabaseState &)> work,
+              std::function<void(bool ok)> answer);
+    void tickHomes();
+    void replicate();
+    void write();
+    void pollWrite(const std::string &home, Write write);
+    void updatePeers();
+
+    std::mt19937_64 random;
+    std::map<std::string, Server> servers;
+    std::priority_queue<Event> events;
+    core::Milliseconds time{0};
+    std::uint64_t eventNumber = 0;
+    std::uint64_t writeNumber = 0;
+    std::uint64_t tokenNumber = 0;
+    std::map<std::uint64_t, std::function<void(bool)>> peerAnswers;
+    std::map<std::string, std::int64_t> acknowledged;
+    std::map<std::int64_t, std::string> acknowledgingServer;
+    int lossPercent = 0;
+};
+
+}
--- /dev/null
+++ b/tests/failover/test_groupsimulation.cpp
@@ -0,0 +1,704 @@
+#include "tests/failover/groupsimulation.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <iostream>
+
+namespace endiveshore::failover {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr core::Milliseconds StartTime{1'500};
+constexpr std::string_view ServerIds[] = {"s1", "s2", "s3"};
+
+}
+
+GroupSimulation::GroupSimulation(std::uint64_t seed)
+    : random(seed)
+{
+    GroupDescription description{.database = "rota", .servers = {}, .initialPrimary = "s1"};
+    for (const std::string_view id : ServerIds) {
+        const std::string name(id);
+        description.servers.push_back({.id = name, .address = name, .dataCentre = "centre-" + name});
+        this->servers[name].state = std::make_unique<standins::DatabaseState>(name == "s1", "s1", 0);
+    }
+    for (const std::string_view id : ServerIds) {
+        const std::string server(id);
+        Home &home = this->homes["home-" + server];
+        home.dataCentre = "centre-" + server;
+        home.monitor = std::make_unique<GroupMonitor>(description, "home-" + server, home.dataCentre, this->random());
+    }
+    this->updatePeers();
+    this->primaries[1] = "s1";
+    this->schedule(core::Milliseconds(this->random() % 25), [this] { this->tickHomes(); });
+    this->schedule(5ms, [this] { this->replicate(); });
+    this->schedule(7ms, [this] { this->write(); });
+}
+
+void GroupSimulation::updatePeers()
+{
+    std::vector<std::string> alive;
+    for (const auto &[name, home] : this->homes) {
+        if (home.alive) {
+            alive.push_back(name);
+        }
+    }
+    if (alive.empty()) {
+        return;
+    }
+    std::map<std::string, std::vector<std::string>> owned;
+    for (const std::string_view id : ServerIds) {
+        const std::string own = "home-" + std::string(id);
+        owned[this->homes[own].alive ? own : alive.front()].push_back(std::string(id));
+    }
+    for (const std::string &name : alive) {
+        std::vector<PeerHome> peers;
+        for (const std::string &other : alive) {
+            if (other != name) {
+                peers.push_back(
+                    {.daemon = other, .dataCentre = this->homes[other].dataCentre, .servers = owned[other]});
+            }
+        }
+        this->homes[name].monitor->setHomes({owned[name].begin(), owned[name].end()}, peers);
+    }
+}
+
+void GroupSimulation::schedule(core::Milliseconds delay, std::function<void()> action)
+{
+    this->events.push({.at = this->time + delay, .number = ++this->eventNumber, .run = std::move(action)});
+}
+
+core::TimePoint GroupSimulation::timePoint() const
+{
+    return core::TimePoint() + 1h + this->time;
+}
+
+core::Milliseconds GroupSimulation::now() const
+{
+    return this->time;
+}
+
+bool GroupSimulation::runUntil(core::Milliseconds limit, const std::function<bool()> &condition)
+{
+    const core::Milliseconds end = this->time + limit;
+    while (!this->events.empty() && this->events.top().at <= end) {
+        if (condition()) {
+            return true;
+        }
+        const Event event = this->events.top();
+        this->events.pop();
+        this->time = event.at;
+        event.run();
+    }
+    this->time = end;
+    return condition();
+}
+
+void GroupSimulation::run(core::Milliseconds duration)
+{
+    this->runUntil(duration, [] { return false; });
+}
+
+core::Milliseconds GroupSimulation::latency(const std::string &home, const std::string &server)
+{
+    // s3 and its home are in the other region.
+    const bool far = home.ends_with("s3") != server.ends_with("s3");
+    return core::Milliseconds((far ? 10 : 1) + static_cast<int>(this->random() % 3));
+}
+
+bool GroupSimulation::lost()
+{
+    return static_cast<int>(this->random() % 100) < this->lossPercent;
+}
+
+void GroupSimulation::setLoss(int percent)
+{
+    this->lossPercent = percent;
+}
+
+void GroupSimulation::setFaults(const std::string &server, Faults faults)
+{
+    Server &target = this->servers[server];
+    target.faults = faults;
+    if (!faults.paused) {
+        std::vector<std::function<void()>> waiting = std::move(target.waiting);
+        target.waiting.clear();
+        for (const std::function<void()> &work : waiting) {
+            if (!faults.down) {
+                work();
+            }
+        }
+    }
+}
+
+void GroupSimulation::call(const std::string &home,
+                           const std::string &server,
+                           core::Milliseconds timeout,
+                           std::function<void(standins::DatabaseState &)> work,
+                           std::function<void(bool ok)> answer)
+{
+    auto finished = std::make_shared<bool>(false);
+    const auto finish = [this, home, finished, answer = std::move(answer)](bool ok) {
+        if (!std::exchange(*finished, true) && this->homes[home].alive) {
+            answer(ok);
+        }
+    };
+    this->schedule(timeout, [finish] { finish(false); });
+    if (this->lost() || this->homes[home].unreachableServers.contains(server)) {
+        return;
+    }
+    this->schedule(this->latency(home, server), [this, home, server, work = std::move(work), finish] {
+        Server &target = this->servers[server];
+        if (target.faults.cutToServer) {
+            return;
+        }
+        const auto respond = [this, home, server, finish](bool ok) {
+            if (this->lost() || this->servers[server].faults.cutFromServer) {
+                return;
+            }
+            this->schedule(this->latency(home, server), [finish, ok] { finish(ok); });
+        };
+        if (target.faults.down) {
+            respond(false);
+            return;
+        }
+        const auto serve = [this, server, work, respond] {
+            work(*this->servers[server].state);
+            respond(true);
+        };
+        if (target.faults.paused) {
+            target.waiting.push_back(serve);
+            return;
+        }
+        serve();
+    });
+}
+
+void GroupSimulation::perform(const std::string &home, const Actions &actions)
+{
+    for (const Action &action : actions) {
+        this->performOne(home, action);
+    }
+}
+
+void GroupSimulation::performOne(const std::string &home, const Action &action)
+{
+    GroupMonitor &monitor = *this->homes[home].monitor;
+    if (const auto *request = std::get_if<ProbeServer>(&action)) {
+        this->probe(home, *request);
+    } else if (const auto *request = std::get_if<AskPeer>(&action)) {
+        this->ask(home, *request);
+    } else if (const auto *answer = std::get_if<AnswerPeer>(&action)) {
+        const auto found = this->peerAnswers.find(answer->token);
+        if (found != this->peerAnswers.end()) {
+            found->second(answer->suspects);
+            this->peerAnswers.erase(found);
+        }
+    } else if (const auto *request = std::get_if<FenceServer>(&action)) {
+        auto reply = std::make_shared<FenceReply>();
+        this->call(
+            home,
+            request->server,
+            300ms,
+            [request = *request, reply](standins::DatabaseState &state) {
+                const standins::FenceAnswer answer = state.fence(request.term, request.owner);
+                *reply = {.granted = answer.granted,
+                          .fencedTerm = answer.fencedTerm,
+                          .lastTerm = answer.lastTerm,
+                          .received = answer.received};
+            },
+            [this, home, &monitor, request = *request, reply](bool ok) {
+                if (ok) {
+                    this->perform(home, monitor.fenceAnswered(request.server, request.term, *reply, this->timePoint()));
+                }
+            });
+    } else if (const auto *request = std::get_if<PromoteServer>(&action)) {
+        auto promoted = std::make_shared<bool>(false);
+        this->call(
+            home,
+            request->server,
+            300ms,
+            [this, request = *request, promoted](standins::DatabaseState &state) {
+                *promoted = state.promote(request.term, request.owner).promoted;
+                if (!*promoted) {
+                    return;
+                }
+                const auto [place, inserted] = this->primaries.try_emplace(request.term, request.server);
+                if (place->second != request.server) {
+                    this->violations.push_back("two primaries in term " + std::to_string(request.term));
+                }
+            },
+            [this, home, &monitor, request = *request, promoted](bool ok) {
+                if (ok) {
+                    this->perform(home,
+                                  monitor.promoteAnswered(request.server, request.term, *promoted, this->timePoint()));
+                }
+            });
+    } else if (const auto *request = std::get_if<FollowServer>(&action)) {
+        this->call(
+            home,
+            request->server,
+            300ms,
+            [request = *request](standins::DatabaseState &state) {
+                const bool same = !state.isPrimary() && state.term() == request.term
+                    && state.primaryAddress() == request.primaryAddress;
+                if (!same) {
+                    state.follow(request.term, request.primaryAddress);
+                }
+            },
+            [](bool) {});
+    } else if (const auto *change = std::get_if<PrimaryChanged>(&action)) {
+        if (!change->spread) {
+            return;
+        }
+        for (const auto &[other, state] : this->homes) {
+            const bool cut
+                = state.unreachableHomes.contains(home) || this->homes[home].unreachableHomes.contains(other);
+            if (other == home || cut) {
+                continue;
+            }
+            // Gossip reaches all daemons within a few rounds.
+            this->schedule(core::Milliseconds(100 + this->random() % 600), [this, other = other, change = *change] {
+                Home &target = this->homes[other];
+                if (target.alive) {
+                    this->perform(other, target.monitor->announced(change.term, change.server, this->timePoint()));
+                }
+            });
+        }
+    } else if (const auto *decision = std::get_if<LogDecision>(&action)) {
+        this->decisions.push_back(std::to_string(this->time.count()) + " " + home + ": " + decision->decision + " ("
+                                  + decision->reason + "; " + decision->alternatives + ")");
+    }
+}
+
+void GroupSimulation::probe(const std::string &home, const ProbeServer &request)
+{
+    auto report = std::make_shared<ServerReport>();
+    this->call(
+        home,
+        request.server,
+        300ms,
+        [this, report](standins::DatabaseState &state) {
+            *report = {.primary = state.isPrimary(),
+                       .term = state.term(),
+                       .fencedTerm = state.fencedTerm(),
+                       .position = state.applied(),
+                       .received = state.received(),
+                       .lagMs = state.lagMs(this->time.count()),
+                       .termStarts = {}};
+        },
+        [this, home, request, report](bool ok) {
+            GroupMonitor &monitor = *this->homes[home].monitor;
+            this->perform(home,
+                          ok ? monitor.probeAnswered(request.server, *report, request.newConnection, this->timePoint())
+                             : monitor.probeFailed(request.server, request.newConnection, this->timePoint()));
+        });
+}
+
+void GroupSimulation::ask(const std::string &home, const AskPeer &request)
+{
+    auto finished = std::make_shared<bool>(false);
+    const auto finish = [this, home, request, finished](Verdict verdict) {
+        Home &asker = this->homes[home];
+        if (!std::exchange(*finished, true) && asker.alive) {
+            this->perform(home, asker.monitor->peerAnswered(request.daemon, request.ask, verdict, this->timePoint()));
+        }
+    };
+    this->schedule(350ms, [finish] { finish(Verdict::Unreachable); });
+    Home &peer = this->homes[request.daemon];
+    const bool cut
+        = peer.unreachableHomes.contains(home) || this->homes[home].unreachableHomes.contains(request.daemon);
+    if (!peer.alive || cut || this->lost()) {
+        return;
+    }
+    this->schedule(this->latency(home, request.daemon), [this, home, request, finish] {
+        const std::uint64_t token = ++this->tokenNumber;
+        this->peerAnswers[token] = [this, home, request, finish](bool suspects) {
+            this->schedule(this->latency(home, request.daemon),
+                           [finish, suspects] { finish(suspects ? Verdict::Confirms : Verdict::Denies); });
+        };
+        Home &target = this->homes[request.daemon];
+        this->perform(request.daemon,
+                      target.monitor->peerAsked(token, request.server, request.term, this->timePoint()));
+    });
+}
+
+void GroupSimulation::tickHomes()
+{
+    for (auto &[name, home] : this->homes) {
+        if (home.alive) {
+            this->perform(name, home.monitor->tick(this->timePoint()));
+        }
+    }
+    this->schedule(25ms, [this] { this->tickHomes(); });
+}
+
+void GroupSimulation::replicate()
+{
+    for (auto &[name, replica] : this->servers) {
+        const std::string &address = replica.state->primaryAddress();
+        if (replica.state->isPrimary() || replica.faults.down || replica.faults.paused || address.empty()) {
+            continue;
+        }
+        Server &source = this->servers[address];
+        if (source.faults.down || source.faults.paused || source.faults.cutFromReplicas
+            || replica.faults.cutFromReplicas) {
+            continue;
+        }
+        auto batch = std::make_shared<standins::LogBatch>();
+        const standins::Refusal refusal = source.state->read(replica.state->term(),
+                                                             replica.state->received(),
+                                                             replica.state->log().termStarts(),
+                                                             this->time.count(),
+                                                             *batch);
+        if (refusal == standins::Refusal::None) {
+            this->schedule(core::Milliseconds(1 + this->random() % 12), [&replica = replica, batch] {
+                // A batch on its way may arrive after a fence, a follow or another batch.
+                if (!replica.faults.down && batch->common <= replica.state->received()
+                    && batch->common + static_cast<std::int64_t>(batch->entries.size()) >= replica.state->received()) {
+                    replica.state->append(*batch);
+                    replica.state->apply(replica.state->received());
+                }
+            });
+        }
+    }
+    this->schedule(15ms, [this] { this->replicate(); });
+}
+
+void GroupSimulation::write()
+{
+    // Any live home may serve the write with the term that it believes current.
+    for (auto &[name, home] : this->homes) {
+        if (!home.alive) {
+            continue;
+        }
+        Write write{.term = home.monitor->term(),
+                    .server = home.monitor->primary(),
+                    .requestId = "w" + std::to_string(++this->writeNumber)};
+        auto answer = std::make_shared<standins::StatementAnswer>();
+        this->call(
+            name,
+            write.server,
+            500ms,
+            [write, answer](standins::DatabaseState &state) {
+                const standins::StatementRequest request{
+                    .term = write.term,
+                    .statement = {.kind = standins::Statement::Kind::Add, .key = "k", .amount = 1},
+                    .requestId = write.requestId};
+                *answer = state.execute(request);
+            },
+            [this, name = name, write, answer](bool ok) mutable {
+                if (ok && answer->refusal == standins::Refusal::None) {
+                    write.position = answer->position;
+                    this->pollWrite(name, write);
+                }
+            });
+    }
+    this->schedule(20ms, [this] { this->write(); });
+}
+
+void GroupSimulation::pollWrite(const std::string &home, Write write)
+{
+    if (++write.polls > 20) {
+        return;
+    }
+    for (const std::string_view id : ServerIds) {
+        const std::string replica(id);
+        if (replica == write.server) {
+            continue;
+        }
+        auto reached = std::make_shared<bool>(false);
+        this->call(
+            home,
+            replica,
+            200ms,
+            [write, reached](standins::DatabaseState &state) {
+                *reached = state.wait(write.term, write.position).reached;
+            },
+            [this, write, reached](bool ok) {
+                if (!ok || !*reached) {
+                    return;
+                }
+                this->acknowledged[write.requestId] = write.term;
+                const auto [place, inserted] = this->acknowledgingServer.try_emplace(write.term, write.server);
+                if (place->second != write.server) {
+                    this->violations.push_back("two servers acknowledge in term " + std::to_string(write.term));
+                }
+            });
+    }
+    this->schedule(30ms, [this, home, write] {
+        if (!this->acknowledged.contains(write.requestId) && this->homes[home].alive) {
+            this->pollWrite(home, write);
+        }
+    });
+}
+
+std::string GroupSimulation::primary() const
+{
+    std::string found;
+    std::int64_t term = 0;
+    for (const auto &[name, server] : this->servers) {
+        const bool up = !server.faults.down && !server.faults.paused && !server.faults.cutToServer
+            && !server.faults.cutFromServer;
+        if (up && server.state->isPrimary() && !server.state->isFenced() && server.state->term() > term) {
+            found = name;
+            term = server.state->term();
+        }
+    }
+    return found;
+}
+
+bool GroupSimulation::isWritable() const
+{
+    const std::string name = this->primary();
+    if (name.empty()) {
+        return false;
+    }
+    const std::int64_t term = this->servers.at(name).state->term();
+    bool followed = false;
+    for (const auto &[other, server] : this->servers) {
+        followed = followed || (other != name && server.state->log().lastTerm() == term && !server.state->isFenced());
+    }
+    for (const auto &[home, state] : this->homes) {
+        if (followed && state.alive && state.monitor->term() == term && state.monitor->primary() == name) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::string GroupSimulation::homeOf(const std::string &server) const
+{
+    return "home-" + server;
+}
+
+standins::DatabaseState &GroupSimulation::state(const std::string &server)
+{
+    return *this->servers.at(server).state;
+}
+
+std::size_t GroupSimulation::acknowledgedWrites() const
+{
+    return this->acknowledged.size();
+}
+
+void GroupSimulation::checkAcknowledged()
+{
+    const std::string name = this->primary();
+    if (name.empty()) {
+        this->violations.push_back("no primary");
+        return;
+    }
+    std::set<std::string> held;
+    const standins::DatabaseLog &log = this->state(name).log();
+    for (std::int64_t position = 1; position <= log.size(); ++position) {
+        for (const standins::RecordedAnswer &answer : log.at(position).answers) {
+            if (!held.insert(answer.requestId).second) {
+                this->violations.push_back("write twice: " + answer.requestId);
+            }
+        }
+    }
+    for (const auto &[requestId, term] : this->acknowledged) {
+        if (!held.contains(requestId)) {
+            this->violations.push_back("lost " + requestId + " of term " + std::to_string(term));
+        }
+    }
+}
+
+namespace {
+
+std::string describe(const GroupSimulation &simulation)
+{
+    std::string text;
+    for (const std::string &violation : simulation.violations) {
+        text += violation + "\n";
+    }
+    for (const std::string &decision : simulation.decisions) {
+        text += decision + "\n";
+    }
+    return text;
+}
+
+struct Scenario
+{
+    const char *name;
+    GroupSimulation::Faults faults;
+    int lossPercent = 0;
+    bool homeDies = false;
+};
+
+constexpr int ScenarioSeeds = 60;
+
+const Scenario Scenarios[] = {
+    {.name = "killed", .faults = {.down = true}},
+    {.name = "paused", .faults = {.paused = true}},
+    {.name = "cut_both", .faults = {.cutToServer = true, .cutFromServer = true, .cutFromReplicas = true}},
+    {.name = "cut_to_server", .faults = {.cutToServer = true}},
+    {.name = "cut_from_server", .faults = {.cutFromServer = true}},
+    {.name = "killed_lossy", .faults = {.down = true}, .lossPercent = 10},
+    {.name = "paused_lossy", .faults = {.paused = true}, .lossPercent = 10},
+    {.name = "killed_with_home", .faults = {.down = true}, .homeDies = true},
+    {.name = "paused_with_home", .faults = {.paused = true}, .homeDies = true},
+};
+
+}
+
+class FailoverScenario : public testing::TestWithParam<Scenario>
+{
+};
+
+// Guards against a failover beyond the bounds of the design page, lost acknowledged writes and two primaries in a term.
+TEST_P(FailoverScenario, PrimaryIsReplacedInTimeWithoutLoss)
+{
+    const Scenario &scenario = GetParam();
+    std::vector<std::int64_t> gaps;
+    for (std::uint64_t seed = 1; seed <= ScenarioSeeds; ++seed) {
+        GroupSimulation simulation(seed);
+        simulation.run(StartTime + core::Milliseconds(seed * 37 % 300));
+        ASSERT_EQ(simulation.primary(), "s1");
+        ASSERT_GT(simulation.acknowledgedWrites(), 10U);
+        simulation.setLoss(scenario.lossPercent);
+        const core::Milliseconds start = simulation.now();
+        simulation.setFaults("s1", scenario.faults);
+        simulation.homes[simulation.homeOf("s1")].alive = !scenario.homeDies;
+        const bool writable = simulation.runUntil(6s, [&simulation] { return simulation.isWritable(); });
+        EXPECT_TRUE(writable) << "seed " << seed << "\n" << describe(simulation);
+        gaps.push_back((simulation.now() - start).count());
+        simulation.run(1s);
+        simulation.checkAcknowledged();
+
+        // The old primary returns, follows and holds the same log.
+        simulation.setLoss(0);
+        simulation.setFaults("s1", {});
+        simulation.homes[simulation.homeOf("s1")].alive = true;
+        const bool followed = simulation.runUntil(6s, [&simulation] {
+            const std::string primary = simulation.primary();
+            const std::int64_t term = simulation.state(primary.empty() ? "s1" : primary).term();
+            return primary != "" && simulation.state("s1").log().lastTerm() == term && term > 1;
+        });
+        EXPECT_TRUE(followed) << "seed " << seed << "\n" << describe(simulation);
+        simulation.run(500ms);
+        simulation.checkAcknowledged();
+        EXPECT_TRUE(simulation.violations.empty()) << "seed " << seed << "\n" << describe(simulation);
+        if (HasFailure()) {
+            return;
+        }
+    }
+    std::sort(gaps.begin(), gaps.end());
+    std::cout << scenario.name << ": median " << gaps[gaps.size() / 2] << " ms, largest " << gaps.back() << " ms\n";
+    EXPECT_LT(gaps[gaps.size() / 2], 2'000);
+    EXPECT_LT(gaps.back(), 6'000);
+}
+
+INSTANTIATE_TEST_SUITE_P(All, FailoverScenario, testing::ValuesIn(Scenarios), [](const auto &info) {
+    return std::string(info.param.name);
+});
+
+// Guards against any order of faults that loses an acknowledged write, makes two primaries in a term, or leaves the
+// group without a primary after the faults end.
+TEST(GroupMonitor, RandomFaultsNeverLoseAcknowledgedWrites)
+{
+    constexpr std::uint64_t Seeds = 150;
+    std::size_t promotions = 0;
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+        GroupSimulation simulation(seed);
+        std::mt19937_64 random(seed * 7919);
+        simulation.run(1s);
+        for (int step = 0; step < 15; ++step) {
+            const std::string primary = simulation.primary();
+            const bool aimed = random() % 2 == 0 && !primary.empty();
+            const std::string server = aimed ? primary : std::string(ServerIds[random() % 3]);
+            switch (random() % 9) {
+            case 0:
+                simulation.setFaults(server, {.down = true});
+                break;
+            case 1:
+            case 2:
+                simulation.setFaults(server, {.paused = true});
+                break;
+            case 3:
+                simulation.setFaults(server, {.cutToServer = true, .cutFromReplicas = random() % 2 == 0});
+                break;
+            case 4:
+                simulation.setFaults(server, {.cutFromServer = true, .cutFromReplicas = random() % 2 == 0});
+                break;
+            case 5:
+                simulation.setLoss(static_cast<int>(random() % 40));
+                break;
+            case 6:
+                simulation.homes["home-" + server].unreachableServers = {std::string(ServerIds[random() % 3])};
+                break;
+            case 7:
+                simulation.homes["home-" + server].alive = random() % 2 == 0;
+                break;
+            default:
+                simulation.setFaults(server, {});
+                break;
+            }
+            simulation.run(core::Milliseconds(100 + random() % 2'000));
+        }
+        simulation.setLoss(0);
+        for (const std::string_view id : ServerIds) {
+            simulation.setFaults(std::string(id), {});
+            simulation.homes["home-" + std::string(id)].alive = true;
+            simulation.homes["home-" + std::string(id)].unreachableServers.clear();
+        }
+        simulation.run(8s);
+        EXPECT_TRUE(simulation.isWritable()) << "seed " << seed << "\n" << describe(simulation);
+        simulation.checkAcknowledged();
+        EXPECT_TRUE(simulation.violations.empty()) << "seed " << seed << "\n" << describe(simulation);
+        if (HasFailure()) {
+            return;
+        }
+        promotions += simulation.primaries.size() - 1;
+    }
+    std::cout << promotions << " promotions in " << Seeds << " runs\n";
+    EXPECT_GT(promotions, Seeds);
+}
+
+// Guards against a replacement of a healthy primary.
+TEST(GroupMonitor, HealthyPrimaryIsKept)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        GroupSimulation simulation(seed);
+        simulation.run(2s);
+        simulation.homes["home-s2"].unreachableServers = {"s1"};
+        simulation.run(10s);
+        simulation.homes["home-s2"].unreachableServers = {};
+        simulation.homes["home-s3"].unreachableServers = {"s1", "s2"};
+        simulation.homes["home-s3"].unreachableHomes = {"home-s1", "home-s2"};
+        simulation.run(10s);
+        simulation.homes["home-s3"].unreachableServers = {};
+        simulation.homes["home-s3"].unreachableHomes = {};
+        simulation.run(5s);
+        EXPECT_EQ(simulation.primaries.size(), 1U) << describe(simulation);
+        EXPECT_EQ(simulation.state("s3").fencedTerm(), 1) << describe(simulation);
+    }
+}
+
+// Guards against a group that stays without a primary when the promoter dies between fence and promote.
+TEST(GroupMonitor, FenceWithoutPromotionIsRepaired)
+{
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        GroupSimulation simulation(seed);
+        simulation.run(2s);
+        simulation.state("s2").fence(5, "dead");
+        simulation.state("s3").fence(5, "dead");
+        if (seed % 2 == 0) {
+            simulation.state("s1").fence(5, "dead");
+        }
+        const core::Milliseconds start = simulation.now();
+        EXPECT_TRUE(simulation.runUntil(6s, [&simulation] {
+            return simulation.isWritable() && simulation.primaries.rbegin()->first > 5;
+        })) << describe(simulation);
+        EXPECT_LT(simulation.now() - start, 6s);
+        simulation.run(1s);
+        simulation.checkAcknowledged();
+        EXPECT_TRUE(simulation.violations.empty()) << describe(simulation);
+    }
+}
+
+}
