--- a/backend/connectionpool.cpp
+++ b/backend/connectionpool.cpp
@@ -45,7 +45,8 @@
     }
 
     net::awaitable<std::unique_ptr<Entry>> open(core::Duration timeout);
-    net::awaitable<Lease> acquire(core::Duration timeout);
+    net::awaitable<Lease> acquire(core::Duration timeout, bool requireNew);
+    void closeIdleUpTo(core::TimePoint openedAt);
     net::awaitable<bool> ping(Entry &entry);
     net::awaitable<void> testNewConnection(core::TimePoint openedAt);
     net::awaitable<void> maintain();
@@ -90,12 +91,16 @@
     co_return entry;
 }
 
-net::awaitable<ConnectionPool::Lease> ConnectionPool::Core::acquire(core::Duration timeout)
+net::awaitable<ConnectionPool::Lease> ConnectionPool::Core::acquire(core::Duration timeout, bool requireNew)
 {
     const std::shared_ptr<Core> self = this->shared_from_this();
     const core::TimePoint deadline = core::Clock::now() + timeout;
     while (!this->closed) {
-        if (!this->idle.empty()) {
+        if (requireNew && !this->idle.empty() && this->counters.open >= this->options.limit) {
+            this->idle.pop_back();
+            --this->counters.open;
+        }
+        if (!requireNew && !this->idle.empty()) {
             std::unique_ptr<Entry> entry = std::move(this->idle.front());
             this->idle.pop_front();
             entry->reused = true;
@@ -152,21 +157,27 @@
     this->testing = false;
     if (works) {
         this->condemnedUpTo = std::max(this->condemnedUpTo, openedAt);
-        for (auto place = this->idle.begin(); place != this->idle.end();) {
-            if ((*place)->openedAt > this->condemnedUpTo) {
-                ++place;
-                continue;
-            }
-            place = this->idle.erase(place);
-            ++this->counters.condemned;
-            this->dropOne();
-        }
+        const std::size_t before = this->idle.size();
+        this->closeIdleUpTo(this->condemnedUpTo);
+        this->counters.condemned += before - this->idle.size();
     }
     if (fresh) {
         this->giveBack(std::move(fresh));
     }
 }
 
+void ConnectionPool::Core::closeIdleUpTo(core::TimePoint openedAt)
+{
+    for (auto place = this->idle.begin(); place != this->idle.end();) {
+        if ((*place)->openedAt > openedAt) {
+            ++place;
+            continue;
+        }
+        place = this->idle.erase(place);
+        this->dropOne();
+    }
+}
+
 net::awaitable<void> ConnectionPool::Core::maintain()
 {
     const std::shared_ptr<Core> self = this->shared_from_this();
@@ -290,7 +301,17 @@
 
 net::awaitable<ConnectionPool::Lease> ConnectionPool::acquire(core::Duration timeout)
 {
-    return this->core->acquire(timeout);
+    return this->core->acquire(timeout, false);
+}
+
+net::awaitable<ConnectionPool::Lease> ConnectionPool::acquireNew(core::Duration timeout)
+{
+    return this->core->acquire(timeout, true);
+}
+
+void ConnectionPool::closeIdleOlderThan(core::TimePoint time)
+{
+    this->core->closeIdleUpTo(time - core::Duration(1));
 }
 
 void ConnectionPool::condemnOlderThan(core::TimePoint openedAt)
--- a/backend/connectionpool.h
+++ b/backend/connectionpool.h
@@ -68,6 +68,12 @@
     /// core::Error: DeadlineExceeded after @p timeout, BackendUnreachable if connecting fails (both not run).
     net::awaitable<Lease> acquire(core::Duration timeout);
 
+    /// As acquire(), but always a connection opened now; closes an idle one to make room.
+    net::awaitable<Lease> acquireNew(core::Duration timeout);
+
+    /// Closes the idle connections opened before @p time.
+    void closeIdleOlderThan(core::TimePoint time);
+
     /// Called when a connection was found silent: tests a new connection, and once it works closes the idle
     /// connections opened up to @p openedAt and drops the leased ones when they return.
     void condemnOlderThan(core::TimePoint openedAt);
--- a/failover/groupmonitor.cpp
+++ b/failover/groupmonitor.cpp
@@ -139,6 +139,13 @@
     }
 }
 
+void GroupMonitor::probeEnded(Watched &watched, bool newConnection)
+{
+    // A regular probe uses a new connection if none was open, and then counts as one.
+    bool &pending = newConnection && watched.probingNew ? watched.probingNew : watched.probing;
+    pending = false;
+}
+
 void GroupMonitor::probeDue(core::TimePoint now, Actions &actions)
 {
     for (auto &[id, watched] : this->servers) {
@@ -164,7 +171,7 @@
         return actions;
     }
     Watched &watched = found->second;
-    (newConnection ? watched.probingNew : watched.probing) = false;
+    this->probeEnded(watched, newConnection);
     watched.known.report = report;
     watched.known.reportedAt = now;
     watched.known.answered = true;
@@ -199,7 +206,7 @@
         return actions;
     }
     Watched &watched = found->second;
-    (newConnection ? watched.probingNew : watched.probing) = false;
+    this->probeEnded(watched, newConnection);
     if (!newConnection) {
         // The connection may be the only thing that failed.
         this->probe(watched, server, true, actions);
--- a/failover/groupmonitor.h
+++ b/failover/groupmonitor.h
@@ -18,6 +18,8 @@
     std::string id;
     std::string address; ///< "ip:port", also given to the servers that follow it.
     std::string dataCentre;
+
+    bool operator==(const GroupServer &other) const = default;
 };
 
 /// Servers of one database.
@@ -74,6 +76,8 @@
     void setHomes(std::set<std::string> ownServers, std::vector<PeerHome> peers);
 
     Actions tick(core::TimePoint now);
+
+    /// @p newConnection tells whether the connection was opened for the probe, even if that was not asked for.
     Actions
     probeAnswered(const std::string &server, const ServerReport &report, bool newConnection, core::TimePoint now);
     Actions probeFailed(const std::string &server, bool newConnection, core::TimePoint now);
@@ -148,6 +152,7 @@
     std::int64_t highestFence() const;
 
     void probe(Watched &watched, const std::string &id, bool newConnection, Actions &actions);
+    void probeEnded(Watched &watched, bool newConnection);
     void probeDue(core::TimePoint now, Actions &actions);
     void checkDisorder(core::TimePoint now, Actions &actions);
     void learnPrimary(std::int64_t term,
--- a/tests/failover/groupsimulation.h
+++ b/tests/failover/groupsimulation.h
@@ -37,6 +37,7 @@
         bool alive = true;
         std::set<std::string> unreachableServers;
         std::set<std::string> unreachableHomes;
+        std::set<std::string> connected; ///< Servers with an open probe connection.
     };
 
     void run(core::Milliseconds duration);
--- a/tests/failover/test_groupsimulation.cpp
+++ b/tests/failover/test_groupsimulation.cpp
@@ -277,6 +277,9 @@
 void GroupSimulation::probe(const std::string &home, const ProbeServer &request)
 {
     auto report = std::make_shared<ServerReport>();
+    // A failed probe closes its connection, so the next one opens another.
+    std::set<std::string> &connected = this->homes[home].connected;
+    const bool opened = connected.erase(request.server) == 0 || request.newConnection;
     this->call(
         home,
         request.server,
@@ -290,7 +293,7 @@
                        .lagMs = state.lagMs(this->time.count()),
                        .termStarts = {}};
         },
-        [this, home, request, report](bool ok) {
+        [this, home, request, report, opened](bool ok) {
             GroupMonitor &monitor = *this->homes[home].monitor;
             this->perform(home,
                           ok ? monitor.probeAnswered(request.server, *report, request.newConnection, this->timePoint())
--- /dev/null
+++ b/tests/support/databasegroup.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "tests/support/childprocess.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace endiveshore::tests {
+
+/// Three stand-in database servers s1, s2 and s3 behind one fault proxy with a route for each. Clients and the servers
+/// among themselves use the proxied addresses. Uses the loopback ports base+1..3, base+11..13 and base+20.
+class DatabaseGroup
+{
+public:
+    explicit DatabaseGroup(int basePort, std::vector<std::string> serverArguments = {})
+        : basePort(basePort)
+    {
+        std::vector<std::string> proxyArguments{"--control", this->controlAddress()};
+        for (int index = 0; index < Size; ++index) {
+            proxyArguments.push_back("--route");
+            proxyArguments.push_back(this->address(index) + "=" + this->directAddress(index));
+        }
+        this->proxy = std::make_unique<ChildProcess>("faultproxy", proxyArguments);
+        for (int index = 0; index < Size; ++index) {
+            std::vector<std::string> arguments{
+                "--id", id(index), "--database", "rota", "--primary", id(0), "--listen", this->directAddress(index)};
+            std::string peers;
+            for (int other = 0; other < Size; ++other) {
+                if (other != index) {
+                    peers += (peers.empty() ? "" : ",") + id(other) + "=" + this->address(other);
+                }
+            }
+            arguments.insert(arguments.end(), {"--peers", peers});
+            arguments.insert(arguments.end(), serverArguments.begin(), serverArguments.end());
+            this->servers.push_back(std::make_unique<ChildProcess>("standin-database", arguments));
+        }
+    }
+
+    static constexpr int Size = 3;
+
+    static std::string id(int index)
+    {
+        return "s" + std::to_string(index + 1);
+    }
+
+    /// Proxied address of a server.
+    std::string address(int index) const
+    {
+        return "127.0.0.1:" + std::to_string(this->basePort + 11 + index);
+    }
+
+    std::string directAddress(int index) const
+    {
+        return "127.0.0.1:" + std::to_string(this->basePort + 1 + index);
+    }
+
+    std::string controlAddress() const
+    {
+        return "127.0.0.1:" + std::to_string(this->basePort + 20);
+    }
+
+    ChildProcess &server(int index)
+    {
+        return *this->servers[static_cast<std::size_t>(index)];
+    }
+
+private:
+    int basePort;
+    std::unique_ptr<ChildProcess> proxy;
+    std::vector<std::unique_ptr<ChildProcess>> servers;
+};
+
+}
