Restart the stand-in's log pull when the followed primary changes

Cause: after /follow a replica still waited up to 1 s for the answer of the paused or cut former primary before it pulled from the new one.

Change: /follow and /promote close the pull connection.

--- a/standins/databaseserver.cpp
+++ b/standins/databaseserver.cpp
@@ -85,6 +85,7 @@
     : context(context)
     , options(std::move(options))
     , state(initialState(this->options))
+    , pullConnection(context.get_executor())
 {
 }
 
@@ -313,7 +314,7 @@
 {
     const PromoteAnswer answer
         = this->state.promote(core::jsonInteger(request, "term"), core::jsonString(request, "owner"));
-    ++this->pullGeneration;
+    this->restartPull();
     this->notifyChange();
     co_return net::jsonResponse(
         200, json::object{{"promoted", answer.promoted}, {"term", answer.term}, {"position", answer.position}});
@@ -330,7 +331,7 @@
     if (refusal != Refusal::None) {
         co_return this->refuse(refusal);
     }
-    ++this->pullGeneration;
+    this->restartPull();
     this->notifyChange();
     co_return net::jsonResponse(200, json::object{{"term", term}});
 }
@@ -434,9 +435,16 @@
     }
 }
 
+void DatabaseServer::restartPull()
+{
+    ++this->pullGeneration;
+    // A pull from a silent former primary would delay the first pull from the new one by its timeout.
+    this->pullConnection.close();
+}
+
 net::awaitable<void> DatabaseServer::pullLog()
 {
-    net::HttpClientConnection connection(this->context.get_executor());
+    net::HttpClientConnection &connection = this->pullConnection;
     std::uint64_t generation = 0;
     std::int64_t pulled = 0;
     std::vector<TermStart> history;
--- a/standins/databaseserver.h
+++ b/standins/databaseserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "net/httpclient.h"
 #include "net/httpserver.h"
 #include "standins/databaseledger.h"
 #include "standins/databasestate.h"
@@ -70,6 +71,7 @@
     net::awaitable<void> sleep(std::int64_t milliseconds);
     net::awaitable<void> waitForChange(std::int64_t untilMs);
     void notifyChange();
+    void restartPull();
     net::awaitable<void> pullLog();
     net::awaitable<void> receiveBatch(LogBatch batch, std::uint64_t generation, std::int64_t delayMs);
     net::awaitable<void> applyLater(std::int64_t position, std::int64_t delayMs);
@@ -80,6 +82,7 @@
     DatabaseLedger records;
     std::shared_ptr<net::HttpServer> server;
     std::list<net::asio::steady_timer *> waiters;
+    net::HttpClientConnection pullConnection;
     int slotsInUse = 0;
     int connections = 0;
     std::uint64_t pullGeneration = 0; ///< Batches pulled before a change of the followed primary are dropped.
