--- a/core/resultcode.cpp
+++ b/core/resultcode.cpp
@@ -34,6 +34,7 @@
     ResultCodeInfo{ResultCode::NotHome, "not_home", 503, Outcome::NotRun},
     ResultCodeInfo{ResultCode::PeerUnreachable, "peer_unreachable", 503, Outcome::NotRun},
     ResultCodeInfo{ResultCode::TransactionAborted, "transaction_aborted", 409, Outcome::NotRun},
+    ResultCodeInfo{ResultCode::ReplicaBehind, "replica_behind", 503, Outcome::NotRun},
     ResultCodeInfo{ResultCode::NotReady, "not_ready", 503, Outcome::NotRun},
     ResultCodeInfo{ResultCode::Leaving, "leaving", 503, Outcome::NotRun},
     ResultCodeInfo{ResultCode::Isolated, "isolated", 503, Outcome::NotRun},
--- a/core/resultcode.h
+++ b/core/resultcode.h
@@ -44,6 +44,7 @@
     NotHome = 307,
     PeerUnreachable = 308,
     TransactionAborted = 309,
+    ReplicaBehind = 310,
     // 4xx: state of the daemon.
     NotReady = 401,
     Leaving = 402,
--- /dev/null
+++ b/daemon/callerfrontend.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "daemon/callerrequest.h"
+#include "daemon/fleetview.h"
+#include "daemon/statementrouter.h"
+#include "net/httpserver.h"
+#include "session/sessiontoken.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace endiveshore::daemon {
+
+struct CallerFrontendOptions
+{
+    std::vector<std::string> sessionSecrets; ///< The first signs; all verify.
+};
+
+/// Hooks of the daemon that the caller API depends on.
+struct CallerFrontendHooks
+{
+    StatementRouter::ViewSource view;
+    /// Waits for one token of the workspace's rate. Throws core::Error(RateExceeded).
+    std::function<net::awaitable<void>(std::string service, std::string workspace, core::TimePoint deadline)> admit;
+    /// True while the daemon prepares to stop; readiness then fails.
+    std::function<bool()> leaving;
+    /// Result of each request, for metrics.
+    std::function<void(core::ResultCode code, core::Outcome outcome, const StatementAnswer *answer)> finished;
+};
+
+/// Caller API of one traffic thread: checks the key, resolves names, admits by rate, routes, and returns the answer
+/// with the session token. Paths are registered in a table.
+class CallerFrontend
+{
+public:
+    CallerFrontend(CallerFrontendOptions options, CallerFrontendHooks hooks, StatementRouter &router);
+
+    /// Handler for net::HttpServer.
+    net::awaitable<net::HttpResponse> handle(net::HttpRequest request);
+
+private:
+    using Method = net::awaitable<net::HttpResponse> (CallerFrontend::*)(net::HttpRequest request);
+    struct Path
+    {
+        std::string_view method;
+        std::string_view target;
+        Method handler;
+    };
+    static std::span<const Path> paths();
+
+    /// Names resolved from one request.
+    struct Context
+    {
+        std::shared_ptr<const FleetView> view;
+        CallerRequest request;
+        session::SessionToken token;
+        AdmittedStatement statement;
+    };
+
+    net::awaitable<net::HttpResponse> runStatement(net::HttpRequest request);
+    net::awaitable<net::HttpResponse> beginTransaction(net::HttpRequest request);
+    net::awaitable<net::HttpResponse> commitTransaction(net::HttpRequest request);
+    net::awaitable<net::HttpResponse> rollbackTransaction(net::HttpRequest request);
+    net::awaitable<net::HttpResponse> endTransaction(net::HttpRequest request, TransactionStep step);
+    net::awaitable<net::HttpResponse> liveness(net::HttpRequest request);
+    net::awaitable<net::HttpResponse> readiness(net::HttpRequest request);
+
+    Context resolve(const net::HttpRequest &request, bool needsRoute) const;
+    std::string authorize(const net::HttpRequest &request, const FleetView &view, const document::ServiceDocument &service, bool openRoute) const;
+    net::HttpResponse success(Context &context, const StatementAnswer &answer) const;
+
+    CallerFrontendOptions options;
+    CallerFrontendHooks hooks;
+    StatementRouter &router;
+};
+
+}
--- /dev/null
+++ b/daemon/homeclient.cpp
@@ -0,0 +1,110 @@
+#include "daemon/homeclient.h"
+
+#include "core/json.h"
+
+namespace endiveshore::daemon {
+
+namespace {
+
+// The home answers at the deadline at the latest; the margin lets that answer travel back, so that a known outcome is
+// not turned into an unknown one.
+constexpr core::Milliseconds AnswerMargin {150};
+
+}
+
+std::string_view transactionStepName(TransactionStep step)
+{
+    switch (step) {
+    case TransactionStep::Begin:
+        return "begin";
+    case TransactionStep::Commit:
+        return "commit";
+    case TransactionStep::Rollback:
+        break;
+    }
+    return "rollback";
+}
+
+std::string_view transactionOwner(std::string_view transactionId)
+{
+    const std::size_t separator = transactionId.rfind('.');
+    return separator == std::string_view::npos ? std::string_view() : transactionId.substr(0, separator);
+}
+
+HomeClient::HomeClient(std::string memberId, net::PeerClient &peers, LocalExecute localExecute, LocalTransaction localTransaction)
+    : memberId(std::move(memberId))
+    , peers(peers)
+    , localExecute(std::move(localExecute))
+    , localTransaction(std::move(localTransaction))
+{
+}
+
+net::awaitable<StatementAnswer> HomeClient::execute(const FleetView &view, StatementCall call)
+{
+    if (!call.transaction.empty()) {
+        // Statements of a transaction go to the connection that it is pinned to, whoever is the home by now.
+        const std::string owner(transactionOwner(call.transaction));
+        if (owner == this->memberId) {
+            co_return co_await this->localExecute(std::move(call));
+        }
+        const auto member = view.members.find(owner);
+        if (member == view.members.end()) {
+            throw core::Error(core::ResultCode::TransactionAborted, "the daemon that held the transaction is gone");
+        }
+        co_return co_await this->forward(member->second, "/peer/statement", std::move(call));
+    }
+    const auto home = view.homes.find(call.server);
+    if (home == view.homes.end()) {
+        throw core::Error(core::ResultCode::NoServer, "no home for server " + call.server);
+    }
+    if (home->second.member == this->memberId) {
+        co_return co_await this->localExecute(std::move(call));
+    }
+    co_return co_await this->forward(home->second.peerEndpoint, "/peer/statement", std::move(call));
+}
+
+net::awaitable<StatementAnswer> HomeClient::transact(const FleetView &view, TransactionStep step, StatementCall call)
+{
+    std::string owner;
+    if (step == TransactionStep::Begin) {
+        const auto home = view.homes.find(call.server);
+        if (home == view.homes.end()) {
+            throw core::Error(core::ResultCode::NoServer, "no home for server " + call.server);
+        }
+        owner = home->second.member;
+    } else {
+        owner = std::string(transactionOwner(call.transaction));
+    }
+    if (owner == this->memberId) {
+        co_return co_await this->localTransaction(step, std::move(call));
+    }
+    const auto member = view.members.find(owner);
+    if (member == view.members.end()) {
+        core::Error error(step == TransactionStep::Begin ? core::ResultCode::PeerUnreachable : core::ResultCode::TransactionAborted,
+                          "daemon " + owner + " is not reachable");
+        if (step == TransactionStep::Commit) {
+            // An earlier attempt to commit may have reached the daemon before it went away.
+            error.outcome = core::Outcome::Unknown;
+        }
+        throw error;
+    }
+    std::string path = "/peer/transaction/";
+    path += transactionStepName(step);
+    co_return co_await this->forward(member->second, path, std::move(call));
+}
+
+net::awaitable<StatementAnswer> HomeClient::forward(net::TcpEndpoint endpoint, std::string_view path, StatementCall call)
+{
+    const core::TimePoint now = core::Clock::now();
+    const core::Duration timeout = call.deadline - now + AnswerMargin;
+    const boost::json::object message = toJson(call, now);
+    net::HttpRequest request = net::jsonRequest(path, message);
+    const net::HttpResponse response = co_await this->peers.exchange(endpoint, std::move(request), timeout);
+    const boost::json::object answer = core::valueOrThrow([&response] {
+        return core::parseJsonObject(response.body);
+    });
+    throwIfError(response.status, answer);
+    co_return statementAnswerFromJson(answer);
+}
+
+}
--- /dev/null
+++ b/daemon/replicationtracker.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "core/time.h"
+#include "net/asyncio.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+#include <vector>
+
+namespace endiveshore::daemon {
+
+/// Confirms that writes of one primary term are held by a majority: the primary and at least one replica that received
+/// the position in the same term. One long-poll per replica serves all waiting writes. Runs on one executor.
+class ReplicationTracker : public std::enable_shared_from_this<ReplicationTracker>
+{
+public:
+    struct Progress
+    {
+        std::uint64_t term = 0; ///< Term that the replica follows.
+        std::uint64_t received = 0; ///< Last position that the replica holds.
+    };
+
+    /// Asks one replica to answer once it holds @p position in @p term, or after @p timeout with what it holds.
+    using WaitForPosition =
+        std::function<net::awaitable<Progress>(std::uint64_t term, std::uint64_t position, core::Duration timeout)>;
+
+    /// @p replicas has one function per replica of the group.
+    ReplicationTracker(net::Executor executor, std::uint64_t term, std::vector<WaitForPosition> replicas);
+
+    /// Waits until @p position is confirmed. Returns false if that did not happen by @p deadline or the term ended.
+    net::awaitable<bool> waitConfirmed(std::uint64_t position, core::TimePoint deadline);
+
+    std::uint64_t term() const;
+
+    /// Highest position known to be held by a majority in this term.
+    std::uint64_t confirmedPosition() const;
+
+    /// Ends the term: pending waits return false.
+    void stop();
+
+private:
+    struct Waiter
+    {
+        std::uint64_t position;
+        boost::asio::steady_timer timer;
+        bool confirmed = false;
+    };
+
+    net::awaitable<void> pollReplica(std::size_t index);
+    void confirm(std::uint64_t position);
+
+    net::Executor executor;
+    std::uint64_t currentTerm;
+    std::vector<WaitForPosition> replicas;
+    std::vector<bool> polling;
+    std::list<std::shared_ptr<Waiter>> waiters;
+    std::uint64_t confirmed = 0;
+    bool stopped = false;
+};
+
+}
