Resolve the value type of leaf results through the call result

Cause: leaf::result keeps value_type private, so valueOrThrow did not compile. Change: the type is taken from value(). Measured: the daemon and tools libraries compile.

--- a/core/error.h
+++ b/core/error.h
@@ -6,6 +6,8 @@
 
 #include <exception>
 #include <string>
+#include <type_traits>
+#include <utility>
 
 namespace endiveshore::core {
 
@@ -42,14 +44,13 @@
 template<typename Produce>
 auto valueOrThrow(Produce &&produce)
 {
+    using Value = std::remove_cvref_t<decltype(produce().value())>;
     return boost::leaf::try_handle_all(
         std::forward<Produce>(produce),
-        [](const Failure &failure) -> typename std::decay_t<decltype(produce())>::value_type {
+        [](const Failure &failure) -> Value {
             throw Error(failure.code, failure.path.empty() ? failure.message : failure.path + ": " + failure.message);
         },
-        []() -> typename std::decay_t<decltype(produce())>::value_type {
-            throw Error(ResultCode::Internal, "unclassified failure");
-        });
+        []() -> Value { throw Error(ResultCode::Internal, "unclassified failure"); });
 }
 
 }
--- a/daemon/callerfrontend.cpp
+++ b/daemon/callerfrontend.cpp
@@ -30,13 +30,13 @@
 
 std::span<const CallerFrontend::Path> CallerFrontend::paths()
 {
-    static constexpr std::array Table {
-        Path {"POST", "/v1/statements", &CallerFrontend::runStatement},
-        Path {"POST", "/v1/transactions", &CallerFrontend::beginTransaction},
-        Path {"POST", "/v1/transactions/commit", &CallerFrontend::commitTransaction},
-        Path {"POST", "/v1/transactions/rollback", &CallerFrontend::rollbackTransaction},
-        Path {"GET", "/health/live", &CallerFrontend::liveness},
-        Path {"GET", "/health/ready", &CallerFrontend::readiness},
+    static constexpr std::array Table{
+        Path{"POST", "/v1/statements", &CallerFrontend::runStatement},
+        Path{"POST", "/v1/transactions", &CallerFrontend::beginTransaction},
+        Path{"POST", "/v1/transactions/commit", &CallerFrontend::commitTransaction},
+        Path{"POST", "/v1/transactions/rollback", &CallerFrontend::rollbackTransaction},
+        Path{"GET", "/health/live", &CallerFrontend::liveness},
+        Path{"GET", "/health/ready", &CallerFrontend::readiness},
     };
     return Table;
 }
@@ -127,10 +127,12 @@
         co_return net::errorResponse(core::ResultCode::Leaving, core::Outcome::NotRun, "the daemon is leaving");
     }
     if (!view->ready) {
-        co_return net::errorResponse(core::ResultCode::NotReady, core::Outcome::NotRun, "no configuration snapshot is loaded");
+        co_return net::errorResponse(
+            core::ResultCode::NotReady, core::Outcome::NotRun, "no configuration snapshot is loaded");
     }
     if (view->isolated) {
-        co_return net::errorResponse(core::ResultCode::Isolated, core::Outcome::NotRun, "neither the store nor a majority of members answers");
+        co_return net::errorResponse(
+            core::ResultCode::Isolated, core::Outcome::NotRun, "neither the store nor a majority of members answers");
     }
     boost::json::object body;
     body["status"] = "ready";
@@ -144,13 +146,10 @@
     if (!context.view->ready) {
         throw core::Error(core::ResultCode::NotReady, "no configuration snapshot is loaded");
     }
-    context.request = core::valueOrThrow([&request] {
-        return parseCallerRequest(request.body, core::Clock::now());
-    });
+    context.request = core::valueOrThrow([&request] { return parseCallerRequest(request.body, core::Clock::now()); });
     const std::string_view tokenText = net::headerValue(request.headers, SessionHeader);
-    context.token = core::valueOrThrow([this, tokenText] {
-        return session::SessionToken::parse(tokenText, this->options.sessionSecrets);
-    });
+    context.token = core::valueOrThrow(
+        [this, tokenText] { return session::SessionToken::parse(tokenText, this->options.sessionSecrets); });
     AdmittedStatement &statement = context.statement;
     const auto service = context.view->catalogue->services.find(context.request.service);
     if (service == context.view->catalogue->services.end()) {
@@ -207,7 +206,7 @@
     if (answer.sessionSafe && answer.position.position > 0) {
         context.token.advance(groupKey(context.request.service, context.request.database), answer.position);
     }
-    const boost::json::object body {
+    const boost::json::object body{
         {"outcome", "done"},
         {"result", answer.result},
         {"server", answer.server},
@@ -217,7 +216,8 @@
         {"replayed", answer.replayed},
     };
     net::HttpResponse response = net::jsonResponse(200, body);
-    response.headers.emplace_back(std::string(SessionHeader), context.token.serialize(this->options.sessionSecrets.front()));
+    response.headers.emplace_back(std::string(SessionHeader),
+                                  context.token.serialize(this->options.sessionSecrets.front()));
     return response;
 }
 
--- a/daemon/callerfrontend.h
+++ b/daemon/callerfrontend.h
@@ -67,7 +67,10 @@
     net::awaitable<net::HttpResponse> readiness(net::HttpRequest request);
 
     Context resolve(const net::HttpRequest &request, bool needsRoute) const;
-    std::string authorize(const net::HttpRequest &request, const FleetView &view, const document::ServiceDocument &service, bool openRoute) const;
+    std::string authorize(const net::HttpRequest &request,
+                          const FleetView &view,
+                          const document::ServiceDocument &service,
+                          bool openRoute) const;
     net::HttpResponse success(Context &context, const StatementAnswer &answer) const;
 
     CallerFrontendOptions options;
--- a/daemon/callerrequest.cpp
+++ b/daemon/callerrequest.cpp
@@ -21,17 +21,18 @@
     std::string CallerRequest::*member;
 };
 
-constexpr std::array TextFields {
-    TextField {"service", &CallerRequest::service},
-    TextField {"database", &CallerRequest::database},
-    TextField {"route", &CallerRequest::route},
-    TextField {"request_id", &CallerRequest::requestId},
-    TextField {"transaction", &CallerRequest::transaction},
+constexpr std::array TextFields{
+    TextField{"service", &CallerRequest::service},
+    TextField{"database", &CallerRequest::database},
+    TextField{"route", &CallerRequest::route},
+    TextField{"request_id", &CallerRequest::requestId},
+    TextField{"transaction", &CallerRequest::transaction},
 };
 
 boost::leaf::error_id malformed(std::string message)
 {
-    return boost::leaf::new_error(core::Failure {.code = core::ResultCode::MalformedRequest, .message = std::move(message)});
+    return boost::leaf::new_error(
+        core::Failure{.code = core::ResultCode::MalformedRequest, .message = std::move(message)});
 }
 
 }
--- a/daemon/homeclient.cpp
+++ b/daemon/homeclient.cpp
@@ -8,7 +8,7 @@
 
 // The home answers at the deadline at the latest; the margin lets that answer travel back, so that a known outcome is
 // not turned into an unknown one.
-constexpr core::Milliseconds AnswerMargin {150};
+constexpr core::Milliseconds AnswerMargin{150};
 
 }
 
@@ -31,7 +31,10 @@
     return separator == std::string_view::npos ? std::string_view() : transactionId.substr(0, separator);
 }
 
-HomeClient::HomeClient(std::string memberId, net::PeerClient &peers, LocalExecute localExecute, LocalTransaction localTransaction)
+HomeClient::HomeClient(std::string memberId,
+                       net::PeerClient &peers,
+                       LocalExecute localExecute,
+                       LocalTransaction localTransaction)
     : memberId(std::move(memberId))
     , peers(peers)
     , localExecute(std::move(localExecute))
@@ -80,7 +83,8 @@
     }
     const auto member = view.members.find(owner);
     if (member == view.members.end()) {
-        core::Error error(step == TransactionStep::Begin ? core::ResultCode::PeerUnreachable : core::ResultCode::TransactionAborted,
+        core::Error error(step == TransactionStep::Begin ? core::ResultCode::PeerUnreachable
+                                                         : core::ResultCode::TransactionAborted,
                           "daemon " + owner + " is not reachable");
         if (step == TransactionStep::Commit) {
             // An earlier attempt to commit may have reached the daemon before it went away.
@@ -93,16 +97,15 @@
     co_return co_await this->forward(member->second, path, std::move(call));
 }
 
-net::awaitable<StatementAnswer> HomeClient::forward(net::TcpEndpoint endpoint, std::string_view path, StatementCall call)
+net::awaitable<StatementAnswer>
+HomeClient::forward(net::TcpEndpoint endpoint, std::string_view path, StatementCall call)
 {
     const core::TimePoint now = core::Clock::now();
     const core::Duration timeout = call.deadline - now + AnswerMargin;
     const boost::json::object message = toJson(call, now);
     net::HttpRequest request = net::jsonRequest(path, message);
     const net::HttpResponse response = co_await this->peers.exchange(endpoint, std::move(request), timeout);
-    const boost::json::object answer = core::valueOrThrow([&response] {
-        return core::parseJsonObject(response.body);
-    });
+    const boost::json::object answer = core::valueOrThrow([&response] { return core::parseJsonObject(response.body); });
     throwIfError(response.status, answer);
     co_return statementAnswerFromJson(answer);
 }
--- a/daemon/homeclient.h
+++ b/daemon/homeclient.h
@@ -28,7 +28,10 @@
     using LocalExecute = std::function<net::awaitable<StatementAnswer>(StatementCall call)>;
     using LocalTransaction = std::function<net::awaitable<StatementAnswer>(TransactionStep step, StatementCall call)>;
 
-    HomeClient(std::string memberId, net::PeerClient &peers, LocalExecute localExecute, LocalTransaction localTransaction);
+    HomeClient(std::string memberId,
+               net::PeerClient &peers,
+               LocalExecute localExecute,
+               LocalTransaction localTransaction);
 
     /// Runs @p call at the home of its server. Throws core::Error.
     net::awaitable<StatementAnswer> execute(const FleetView &view, StatementCall call);
--- a/daemon/replicationtracker.cpp
+++ b/daemon/replicationtracker.cpp
@@ -16,13 +16,15 @@
 namespace {
 
 // Long enough that idle polling is cheap, short enough that a silent replica connection is replaced within a second.
-constexpr core::Milliseconds PollTimeout {500};
-constexpr core::Milliseconds RetryDelay {20};
+constexpr core::Milliseconds PollTimeout{500};
+constexpr core::Milliseconds RetryDelay{20};
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 
 }
 
-ReplicationTracker::ReplicationTracker(net::Executor executor, std::uint64_t term, std::vector<WaitForPosition> replicas)
+ReplicationTracker::ReplicationTracker(net::Executor executor,
+                                       std::uint64_t term,
+                                       std::vector<WaitForPosition> replicas)
     : executor(std::move(executor))
     , currentTerm(term)
     , replicas(std::move(replicas))
@@ -39,7 +41,7 @@
         co_return false;
     }
     const std::shared_ptr<ReplicationTracker> self = this->shared_from_this();
-    auto waiter = std::make_shared<Waiter>(Waiter {position, asio::steady_timer(this->executor, deadline)});
+    auto waiter = std::make_shared<Waiter>(Waiter{position, asio::steady_timer(this->executor, deadline)});
     this->waiters.push_back(waiter);
     for (std::size_t index = 0; index < this->replicas.size(); ++index) {
         if (this->polling[index]) {
@@ -76,9 +78,10 @@
     const std::shared_ptr<ReplicationTracker> self = this->shared_from_this();
     while (!this->stopped && !this->waiters.empty()) {
         // The lowest position answers first; the reported progress then confirms the later ones as well.
-        const auto lowest = std::min_element(this->waiters.begin(), this->waiters.end(), [](const auto &left, const auto &right) {
-            return left->position < right->position;
-        });
+        const auto lowest
+            = std::min_element(this->waiters.begin(), this->waiters.end(), [](const auto &left, const auto &right) {
+                  return left->position < right->position;
+              });
         const std::uint64_t position = (*lowest)->position;
         bool failed = false;
         try {
--- a/daemon/replicationtracker.h
+++ b/daemon/replicationtracker.h
@@ -25,8 +25,8 @@
     };
 
     /// Asks one replica to answer once it holds @p position in @p term, or after @p timeout with what it holds.
-    using WaitForPosition =
-        std::function<net::awaitable<Progress>(std::uint64_t term, std::uint64_t position, core::Duration timeout)>;
+    using WaitForPosition
+        = std::function<net::awaitable<Progress>(std::uint64_t term, std::uint64_t position, core::Duration timeout)>;
 
     /// @p replicas has one function per replica of the group.
     ReplicationTracker(net::Executor executor, std::uint64_t term, std::vector<WaitForPosition> replicas);
--- a/daemon/serverobservations.h
+++ b/daemon/serverobservations.h
@@ -15,7 +15,7 @@
 struct ServerObservation
 {
     std::uint64_t applied = 0;
-    core::Duration lag {};
+    core::Duration lag{};
     std::vector<session::TermStart> termStarts;
     core::TimePoint observedAt;
     core::TimePoint failedAt; ///< Last failed attempt; epoch if none.
--- a/daemon/statementcall.cpp
+++ b/daemon/statementcall.cpp
@@ -12,7 +12,7 @@
 {
     json::array message;
     for (const session::TermStart &termStart : termStarts) {
-        message.push_back(json::array {termStart.term, termStart.start});
+        message.push_back(json::array{termStart.term, termStart.start});
     }
     return message;
 }
@@ -28,7 +28,8 @@
         if (pair == nullptr || pair->size() != 2 || !(*pair)[0].is_number() || !(*pair)[1].is_number()) {
             continue;
         }
-        termStarts.push_back({.term = (*pair)[0].to_number<std::uint64_t>(), .start = (*pair)[1].to_number<std::uint64_t>()});
+        termStarts.push_back(
+            {.term = (*pair)[0].to_number<std::uint64_t>(), .start = (*pair)[1].to_number<std::uint64_t>()});
     }
     return termStarts;
 }
@@ -110,7 +111,8 @@
     if (status == 200) {
         return;
     }
-    const auto code = core::resultCodeFromNumber(static_cast<int>(core::jsonInteger(message, "code", static_cast<int>(core::ResultCode::Internal))));
+    const auto code = core::resultCodeFromNumber(
+        static_cast<int>(core::jsonInteger(message, "code", static_cast<int>(core::ResultCode::Internal))));
     core::Error error(code, core::jsonString(message, "message"));
     error.outcome = core::outcomeFromName(core::jsonString(message, "outcome", "unknown"));
     throw error;
--- a/daemon/statementrouter.cpp
+++ b/daemon/statementrouter.cpp
@@ -14,14 +14,14 @@
 namespace {
 
 // Reads on routes without an accepted age may still be this old at most.
-constexpr core::Milliseconds DefaultMaxAge {10'000};
+constexpr core::Milliseconds DefaultMaxAge{10'000};
 // A session that reads right after its write may wait this long at a local replica before it crosses a data centre.
-constexpr core::Milliseconds CatchUpWait {10};
-constexpr core::Milliseconds ViewPollInterval {5};
-constexpr core::Milliseconds FirstRetryDelay {25};
-constexpr core::Milliseconds LongestRetryDelay {400};
+constexpr core::Milliseconds CatchUpWait{10};
+constexpr core::Milliseconds ViewPollInterval{5};
+constexpr core::Milliseconds FirstRetryDelay{25};
+constexpr core::Milliseconds LongestRetryDelay{400};
 // A server that failed is left out of read plans this long; the failure may be a passing one.
-constexpr core::Milliseconds FailureMemory {1'000};
+constexpr core::Milliseconds FailureMemory{1'000};
 
 bool isRetryable(const core::Error &error)
 {
@@ -74,7 +74,10 @@
     return groupKey(service, server);
 }
 
-StatementRouter::StatementRouter(StatementRouterOptions options, ViewSource viewSource, HomeClient &homes, DecisionSink sink)
+StatementRouter::StatementRouter(StatementRouterOptions options,
+                                 ViewSource viewSource,
+                                 HomeClient &homes,
+                                 DecisionSink sink)
     : options(std::move(options))
     , viewSource(std::move(viewSource))
     , homes(homes)
@@ -149,7 +152,8 @@
 net::awaitable<StatementAnswer> StatementRouter::runRead(const AdmittedStatement &statement)
 {
     const std::string group = groupKey(statement.service->service, statement.database->name);
-    const core::Duration maxAge = statement.route->maxAge ? core::Duration(*statement.route->maxAge) : core::Duration(DefaultMaxAge);
+    const core::Duration maxAge
+        = statement.route->maxAge ? core::Duration(*statement.route->maxAge) : core::Duration(DefaultMaxAge);
     core::Duration delay = FirstRetryDelay;
     for (;;) {
         const std::shared_ptr<const FleetView> view = this->viewSource();
@@ -199,7 +203,8 @@
             }
         }
         if (diverged) {
-            throw core::Error(core::ResultCode::SessionAhead, "the session has seen a position that the database no longer has");
+            throw core::Error(core::ResultCode::SessionAhead,
+                              "the session has seen a position that the database no longer has");
         }
         if (core::Clock::now() + delay >= statement.deadline) {
             error.outcome = core::Outcome::NotRun;
@@ -226,7 +231,8 @@
             StatementCall copy = call;
             co_return co_await this->homes.transact(*view, step, std::move(copy));
         } catch (const core::Error &error) {
-            const bool retry = step == TransactionStep::Begin && isRetryable(error) && core::Clock::now() + LongestRetryDelay < call.deadline;
+            const bool retry = step == TransactionStep::Begin && isRetryable(error)
+                && core::Clock::now() + LongestRetryDelay < call.deadline;
             if (!retry) {
                 throw;
             }
@@ -256,7 +262,8 @@
     }
 }
 
-net::awaitable<void> StatementRouter::waitForChange(std::string group, std::shared_ptr<const FleetView> before, core::Duration limit)
+net::awaitable<void>
+StatementRouter::waitForChange(std::string group, std::shared_ptr<const FleetView> before, core::Duration limit)
 {
     const core::TimePoint end = core::Clock::now() + limit;
     const auto groupBefore = before->groups.find(group);
@@ -273,7 +280,8 @@
     }
 }
 
-routing::ReadPlan StatementRouter::planRead(const FleetView &view, const AdmittedStatement &statement, const GroupView &group)
+routing::ReadPlan
+StatementRouter::planRead(const FleetView &view, const AdmittedStatement &statement, const GroupView &group)
 {
     const std::vector<routing::ReadCandidate> candidates = this->readCandidates(view, statement, group);
     const std::string region = regionName(*statement.service, this->options.dataCentre);
--- a/daemon/statementrouter.h
+++ b/daemon/statementrouter.h
@@ -5,7 +5,7 @@
 #include "daemon/retrybudget.h"
 #include "daemon/serverobservations.h"
 #include "daemon/statementcall.h"
-#include "routing/readplan.h"
+#include "routing/readrouting.h"
 
 #include <functional>
 #include <memory>
@@ -67,9 +67,11 @@
     net::awaitable<StatementAnswer> runAtPrimary(const AdmittedStatement &statement);
     net::awaitable<StatementAnswer> runRead(const AdmittedStatement &statement);
     net::awaitable<StatementAnswer> attempt(const FleetView &view, StatementCall call);
-    net::awaitable<void> waitForChange(std::string group, std::shared_ptr<const FleetView> before, core::Duration limit);
+    net::awaitable<void>
+    waitForChange(std::string group, std::shared_ptr<const FleetView> before, core::Duration limit);
     routing::ReadPlan planRead(const FleetView &view, const AdmittedStatement &statement, const GroupView &group);
-    std::vector<routing::ReadCandidate> readCandidates(const FleetView &view, const AdmittedStatement &statement, const GroupView &group);
+    std::vector<routing::ReadCandidate>
+    readCandidates(const FleetView &view, const AdmittedStatement &statement, const GroupView &group);
     StatementCall callFor(const AdmittedStatement &statement) const;
 
     StatementRouterOptions options;
--- a/tools/blockinghttp.cpp
+++ b/tools/blockinghttp.cpp
@@ -11,19 +11,18 @@
 
 namespace {
 
-constexpr core::Milliseconds ControlTimeout {3'000};
+constexpr core::Milliseconds ControlTimeout{3'000};
 
 boost::json::object jsonAnswer(const net::HttpResponse &response)
 {
     if (response.status != 200) {
-        throw core::Error(core::ResultCode::Internal, "HTTP status " + std::to_string(response.status) + ": " + response.body);
+        throw core::Error(core::ResultCode::Internal,
+                          "HTTP status " + std::to_string(response.status) + ": " + response.body);
     }
     if (response.body.empty()) {
         return {};
     }
-    return core::valueOrThrow([&response] {
-        return core::parseJsonObject(response.body);
-    });
+    return core::valueOrThrow([&response] { return core::parseJsonObject(response.body); });
 }
 
 }
@@ -32,7 +31,8 @@
 {
     net::asio::io_context context(1);
     const net::TcpEndpoint endpoint(net::asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port));
-    auto answer = net::asio::co_spawn(context, net::exchangeOnce(endpoint, std::move(request), timeout), net::asio::use_future);
+    auto answer
+        = net::asio::co_spawn(context, net::exchangeOnce(endpoint, std::move(request), timeout), net::asio::use_future);
     context.run();
     return answer.get();
 }
--- a/tools/childprocess.cpp
+++ b/tools/childprocess.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds ExitPollInterval {2};
+constexpr std::chrono::milliseconds ExitPollInterval{2};
 
 }
 
@@ -108,7 +108,8 @@
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
-    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, this->logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_addopen(
+        &actions, STDOUT_FILENO, this->logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
     const int error = ::posix_spawn(&this->pid, this->program.c_str(), &actions, nullptr, argv.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
--- a/tools/deployment.cpp
+++ b/tools/deployment.cpp
@@ -17,8 +17,8 @@
 
 constexpr std::size_t ServersPerDatabase = 3;
 constexpr int LargestDaemonCount = 100;
-constexpr std::chrono::milliseconds PollInterval {10};
-constexpr std::chrono::milliseconds StartTimeout {20'000};
+constexpr std::chrono::milliseconds PollInterval{10};
+constexpr std::chrono::milliseconds StartTimeout{20'000};
 
 // Layout of the ports from the base port on.
 constexpr int StoreOffset = 0;
@@ -53,7 +53,8 @@
         // Eight workspaces, a few of them large.
         for (int index = 0; index < 8; ++index) {
             const bool large = index < 3;
-            this->options.workspaces.push_back(defaultWorkspace("workspace-" + std::to_string(index + 1), large ? 200 : 60, large ? 200 : 60, large ? 3 : 1));
+            this->options.workspaces.push_back(defaultWorkspace(
+                "workspace-" + std::to_string(index + 1), large ? 200 : 60, large ? 200 : 60, large ? 3 : 1));
         }
     }
     std::filesystem::create_directories(this->options.workDirectory);
@@ -81,7 +82,9 @@
     }
     for (std::size_t database = 0; database < static_cast<std::size_t>(this->options.databases); ++database) {
         for (std::size_t server = 0; server < ServersPerDatabase; ++server) {
-            if (!answers(this->options.basePort + ServerRouteOffset + static_cast<int>(this->routeOfServer(database, server)), "/status")) {
+            if (!answers(this->options.basePort + ServerRouteOffset
+                             + static_cast<int>(this->routeOfServer(database, server)),
+                         "/status")) {
                 throw std::runtime_error("server " + this->serverName(database, server) + " did not start");
             }
         }
@@ -101,29 +104,30 @@
     for (std::size_t database = 0; database < static_cast<std::size_t>(this->options.databases); ++database) {
         json::array serverList;
         for (std::size_t server = 0; server < ServersPerDatabase; ++server) {
-            const int port = this->options.basePort + ServerRouteOffset + static_cast<int>(this->routeOfServer(database, server));
-            serverList.push_back(json::object {{"id", this->serverName(database, server)},
-                                               {"address", loopback(port)},
-                                               {"data_centre", dataCentre(server)}});
+            const int port
+                = this->options.basePort + ServerRouteOffset + static_cast<int>(this->routeOfServer(database, server));
+            serverList.push_back(json::object{{"id", this->serverName(database, server)},
+                                              {"address", loopback(port)},
+                                              {"data_centre", dataCentre(server)}});
         }
-        databases.push_back(json::object {{"name", this->databaseName(database)},
-                                          {"servers", std::move(serverList)},
-                                          {"slots", this->options.slots},
-                                          {"connection_limit", this->options.connectionLimit},
-                                          {"initial_primary", this->serverName(database, 0)}});
+        databases.push_back(json::object{{"name", this->databaseName(database)},
+                                         {"servers", std::move(serverList)},
+                                         {"slots", this->options.slots},
+                                         {"connection_limit", this->options.connectionLimit},
+                                         {"initial_primary", this->serverName(database, 0)}});
     }
     return {
         {"service", this->options.service},
         {"regions",
-         json::array {json::object {{"name", "asturias"}, {"data_centres", json::array {dataCentre(0), dataCentre(1)}}},
-                      json::object {{"name", "cantabria"}, {"data_centres", json::array {dataCentre(2)}}}}},
+         json::array{json::object{{"name", "asturias"}, {"data_centres", json::array{dataCentre(0), dataCentre(1)}}},
+                     json::object{{"name", "cantabria"}, {"data_centres", json::array{dataCentre(2)}}}}},
         {"databases", std::move(databases)},
         {"routes",
-         json::array {json::object {{"name", "book"}, {"kind", "write"}},
-                      json::object {{"name", "set-note"}, {"kind", "write"}, {"repeatable", true}},
-                      json::object {{"name", "own-bookings"}, {"kind", "read"}},
-                      json::object {{"name", "availability"}, {"kind", "read"}, {"max_age_ms", 1000}},
-                      json::object {{"name", "exact"}, {"kind", "read"}, {"max_age_ms", 0}}}},
+         json::array{json::object{{"name", "book"}, {"kind", "write"}},
+                     json::object{{"name", "set-note"}, {"kind", "write"}, {"repeatable", true}},
+                     json::object{{"name", "own-bookings"}, {"kind", "read"}},
+                     json::object{{"name", "availability"}, {"kind", "read"}, {"max_age_ms", 1000}},
+                     json::object{{"name", "exact"}, {"kind", "read"}, {"max_age_ms", 0}}}},
         {"workspaces", this->options.workspaces},
     };
 }
@@ -132,7 +136,7 @@
 {
     const std::string log = this->options.workDirectory + "/operator.out";
     std::filesystem::remove(log);
-    std::vector<std::string> full {"--store", loopback(this->storePort())};
+    std::vector<std::string> full{"--store", loopback(this->storePort())};
     if (!this->daemons.empty()) {
         std::string addresses;
         for (std::size_t daemon = 0; daemon < this->daemonCount(); ++daemon) {
@@ -206,7 +210,7 @@
 
 const std::string &Deployment::dataCentre(std::size_t index)
 {
-    static const std::array<std::string, 3> Names {"oviedo", "gijon", "santander"};
+    static const std::array<std::string, 3> Names{"oviedo", "gijon", "santander"};
     return Names[index % Names.size()];
 }
 
@@ -272,39 +276,53 @@
                 if (peer == server) {
                     continue;
                 }
-                const int port = this->options.basePort + ServerRouteOffset + static_cast<int>(this->routeOfServer(database, peer));
+                const int port = this->options.basePort + ServerRouteOffset
+                    + static_cast<int>(this->routeOfServer(database, peer));
                 peers += (peers.empty() ? "" : ",") + this->serverName(database, peer) + "=" + loopback(port);
             }
             this->servers.push_back(this->launch("standin-database",
                                                  this->serverName(database, server),
-                                                 {"--id", this->serverName(database, server),
-                                                  "--database", this->databaseName(database),
-                                                  "--listen", loopback(this->databasePort(database, server)),
-                                                  "--peers", peers,
-                                                  "--primary", this->serverName(database, 0),
-                                                  "--slots", std::to_string(this->options.slots),
-                                                  "--connection-limit", std::to_string(this->options.connectionLimit),
-                                                  "--connect-ms", std::to_string(this->options.connectMs),
-                                                  "--statement-ms", std::to_string(this->options.statementMs),
-                                                  "--replication-delay-ms", std::to_string(this->options.replicationDelayMs),
-                                                  "--apply-delay-ms", std::to_string(this->options.applyDelayMs)}));
+                                                 {"--id",
+                                                  this->serverName(database, server),
+                                                  "--database",
+                                                  this->databaseName(database),
+                                                  "--listen",
+                                                  loopback(this->databasePort(database, server)),
+                                                  "--peers",
+                                                  peers,
+                                                  "--primary",
+                                                  this->serverName(database, 0),
+                                                  "--slots",
+                                                  std::to_string(this->options.slots),
+                                                  "--connection-limit",
+                                                  std::to_string(this->options.connectionLimit),
+                                                  "--connect-ms",
+                                                  std::to_string(this->options.connectMs),
+                                                  "--statement-ms",
+                                                  std::to_string(this->options.statementMs),
+                                                  "--replication-delay-ms",
+                                                  std::to_string(this->options.replicationDelayMs),
+                                                  "--apply-delay-ms",
+                                                  std::to_string(this->options.applyDelayMs)}));
         }
     }
 }
 
 void Deployment::startFaultProxy()
 {
-    std::vector<std::string> arguments {"--control", loopback(this->options.basePort + ProxyControlOffset)};
+    std::vector<std::string> arguments{"--control", loopback(this->options.basePort + ProxyControlOffset)};
     for (std::size_t server = 0; server < this->servers.size(); ++server) {
         const int port = static_cast<int>(server);
         arguments.insert(arguments.end(),
                          {"--route",
-                          loopback(this->options.basePort + ServerRouteOffset + port) + "=" + loopback(this->options.basePort + ServerOffset + port)});
+                          loopback(this->options.basePort + ServerRouteOffset + port) + "="
+                              + loopback(this->options.basePort + ServerOffset + port)});
     }
     for (std::size_t daemon = 0; daemon < this->daemonCount(); ++daemon) {
         arguments.insert(arguments.end(),
                          {"--route",
-                          loopback(this->options.basePort + StoreRouteOffset + static_cast<int>(daemon)) + "=" + loopback(this->storePort())});
+                          loopback(this->options.basePort + StoreRouteOffset + static_cast<int>(daemon)) + "="
+                              + loopback(this->storePort())});
     }
     this->proxies.push_back(this->launch("faultproxy", "faultproxy", std::move(arguments)));
 }
@@ -317,17 +335,27 @@
     }
     for (std::size_t daemon = 0; daemon < this->daemonCount(); ++daemon) {
         const int index = static_cast<int>(daemon);
-        std::vector<std::string> arguments {
-            "--id", this->daemonName(daemon),
-            "--data-centre", dataCentre(daemon),
-            "--region", daemon % 3 == 2 ? "cantabria" : "asturias",
-            "--listen", loopback(this->callerPort(daemon)),
-            "--admin-listen", loopback(this->adminPort(daemon)),
-            "--peer-listen", loopback(this->options.basePort + PeerOffset + index),
-            "--store", loopback(this->options.basePort + StoreRouteOffset + index),
-            "--vm-list", loopback(this->vmListPort()),
-            "--seeds", seeds,
-            "--session-secrets", "shared-secret-of-the-test-deployment",
+        std::vector<std::string> arguments{
+            "--id",
+            this->daemonName(daemon),
+            "--data-centre",
+            dataCentre(daemon),
+            "--region",
+            daemon % 3 == 2 ? "cantabria" : "asturias",
+            "--listen",
+            loopback(this->callerPort(daemon)),
+            "--admin-listen",
+            loopback(this->adminPort(daemon)),
+            "--peer-listen",
+            loopback(this->options.basePort + PeerOffset + index),
+            "--store",
+            loopback(this->options.basePort + StoreRouteOffset + index),
+            "--vm-list",
+            loopback(this->vmListPort()),
+            "--seeds",
+            seeds,
+            "--session-secrets",
+            "shared-secret-of-the-test-deployment",
         };
         arguments.insert(arguments.end(), this->options.daemonFlags.begin(), this->options.daemonFlags.end());
         this->daemons.push_back(this->launch("endiveshored", this->daemonName(daemon), std::move(arguments)));
@@ -352,7 +380,9 @@
 
 ChildProcess Deployment::launch(const std::string &program, const std::string &name, std::vector<std::string> arguments)
 {
-    return ChildProcess(this->options.binaryDirectory + "/" + program, std::move(arguments), this->options.workDirectory + "/" + name + ".out");
+    return ChildProcess(this->options.binaryDirectory + "/" + program,
+                        std::move(arguments),
+                        this->options.workDirectory + "/" + name + ".out");
 }
 
 std::size_t Deployment::routeOfServer(std::size_t database, std::size_t server) const
