--- a/net/httpmessage.h
+++ b/net/httpmessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/resultcode.h"
+#include "net/httpstream.h"
 
 #include <boost/json/fwd.hpp>
 
@@ -30,6 +31,7 @@
     int status = 200;
     HttpHeaders headers;
     std::string body;
+    HttpStreamSource stream = {}; ///< If set, the server sends its chunks instead of the body and closes afterwards.
 };
 
 /// JSON answer with content type application/json.
--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -57,6 +58,77 @@
     return core::ResultCode::MalformedRequest;
 }
 
+class ChunkWriter final : public HttpStreamWriter
+{
+public:
+    ChunkWriter(beast::tcp_stream &stream, std::chrono::milliseconds writeTimeout)
+        : stream(stream)
+        , writeTimeout(writeTimeout)
+    {
+    }
+
+    awaitable<bool> write(std::string_view data) override
+    {
+        if (data.empty()) {
+            // An empty chunk would end the answer.
+            co_return true;
+        }
+        this->stream.expires_after(this->writeTimeout);
+        const auto chunk = http::make_chunk(asio::buffer(data.data(), data.size()));
+        auto [writeError, writtenBytes] = co_await asio::async_write(this->stream, chunk, UseTuple);
+        this->stream.expires_never();
+        co_return !writeError;
+    }
+
+private:
+    beast::tcp_stream &stream;
+    std::chrono::milliseconds writeTimeout;
+};
+
+// Returns when the client closes its side or sends bytes during a streamed answer, which only a closing client does.
+awaitable<void> waitForClient(beast::tcp_stream &stream)
+{
+    auto waited = co_await stream.socket().async_wait(asio::socket_base::wait_read, UseTuple);
+    static_cast<void>(waited);
+}
+
+// A failed source ends its answer without the last chunk, so that the client sees a broken answer.
+awaitable<bool> runSource(const HttpStreamSource &source, HttpStreamWriter &writer)
+{
+    try {
+        co_await source(writer);
+    } catch (const std::exception &) {
+        co_return false;
+    }
+    co_return true;
+}
+
+awaitable<void> sendStream(beast::tcp_stream &stream, HttpResponse response, std::chrono::milliseconds writeTimeout)
+{
+    using namespace asio::experimental::awaitable_operators;
+    http::response<http::empty_body> header(static_cast<http::status>(response.status), 11);
+    for (const auto &[name, value] : response.headers) {
+        header.set(name, value);
+    }
+    header.chunked(true);
+    header.keep_alive(false);
+    http::response_serializer<http::empty_body> serializer(header);
+    stream.expires_after(writeTimeout);
+    auto [headerError, headerBytes] = co_await http::async_write_header(stream, serializer, UseTuple);
+    if (headerError) {
+        co_return;
+    }
+    stream.expires_never();
+    ChunkWriter writer(stream, writeTimeout);
+    const auto finished = co_await (runSource(response.stream, writer) || waitForClient(stream));
+    if (finished.index() != 0 || !std::get<0>(finished)) {
+        co_return;
+    }
+    stream.expires_after(writeTimeout);
+    auto [endError, endBytes] = co_await asio::async_write(stream, http::make_chunk_last(), UseTuple);
+    static_cast<void>(endError);
+}
+
 bool isPeerGone(const beast::error_code &error)
 {
     return error == http::error::end_of_stream || error == asio::error::connection_reset || error == asio::error::eof
@@ -181,6 +253,9 @@
             HttpRequest request = toRequest(std::move(message));
             try {
                 response = co_await this->handler(std::move(request), connection);
+            } catch (const ConnectionAbandoned &) {
+                --this->requests;
+                break;
             } catch (const core::Error &error) {
                 response = errorResponse(error.code, error.outcome, error.message);
             } catch (const std::exception &error) {
@@ -188,6 +263,11 @@
             }
             keepAlive = keepAlive && !this->stopping;
         }
+        if (response.stream) {
+            co_await sendStream(stream, std::move(response), this->options.writeTimeout);
+            --this->requests;
+            break;
+        }
         http::response<http::string_body> answer = toMessage(std::move(response), version, keepAlive);
         stream.expires_after(this->options.writeTimeout);
         auto [writeError, writtenBytes] = co_await http::async_write(stream, answer, UseTuple);
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -19,6 +19,11 @@
     std::any state; ///< Owned by the handler, for example an open transaction.
 };
 
+/// Thrown by a handler to close the connection without an answer. Stand-ins use it to lose answers.
+struct ConnectionAbandoned
+{
+};
+
 struct HttpServerOptions
 {
     std::size_t maxHeaderBytes = 16 * 1024;
--- /dev/null
+++ b/net/httpstream.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "net/asyncio.h"
+
+#include <functional>
+#include <string_view>
+
+namespace endiveshore::net {
+
+/// Sends the chunks of a streamed answer. Lives as long as the answer.
+class HttpStreamWriter
+{
+public:
+    virtual ~HttpStreamWriter() = default;
+
+    /// Sends @p data as one chunk. Returns false once the connection is gone.
+    virtual awaitable<bool> write(std::string_view data) = 0;
+};
+
+/// Produces a streamed answer; the answer ends when the coroutine returns. The server cancels it (terminal
+/// cancellation) when the client closes the connection.
+using HttpStreamSource = std::function<awaitable<void>(HttpStreamWriter &writer)>;
+
+}
--- /dev/null
+++ b/standins/vmliststandin.cpp
@@ -0,0 +1,73 @@
+#include "standins/vmliststandin.h"
+
+#include "core/error.h"
+#include "core/json.h"
+
+namespace endiveshore::standins {
+
+namespace json = boost::json;
+
+VmListStandin::VmListStandin(std::chrono::milliseconds lag)
+    : lag(lag)
+{
+}
+
+void VmListStandin::listen(const net::Executor &executor, const net::TcpEndpoint &endpoint)
+{
+    const std::shared_ptr<VmListStandin> self = this->shared_from_this();
+    this->server = std::make_shared<net::HttpServer>(
+        [self](net::HttpRequest request, net::HttpConnection &) { return self->handle(std::move(request)); });
+    this->server->listen(executor, endpoint);
+}
+
+void VmListStandin::stop()
+{
+    if (this->server) {
+        this->server->stop();
+        // The handler owns this object.
+        this->server.reset();
+    }
+}
+
+void VmListStandin::set(const json::object &body, core::TimePoint now)
+{
+    const json::array *vms = core::jsonArray(body, "vms");
+    if (vms == nullptr) {
+        throw core::Error(core::ResultCode::MalformedRequest, "the array vms is missing");
+    }
+    ++this->revision;
+    this->versions.push_back({.since = now, .list = {{"revision", this->revision}, {"vms", *vms}}});
+    while (this->versions.size() > 1 && this->versions[1].since + this->lag <= now) {
+        this->versions.pop_front();
+    }
+}
+
+json::object VmListStandin::visible(core::TimePoint now) const
+{
+    // The first list counts as set long ago, so that a start is not an empty list.
+    for (auto version = this->versions.rbegin(); version != this->versions.rend(); ++version) {
+        if (version->since + this->lag <= now || std::next(version) == this->versions.rend()) {
+            return version->list;
+        }
+    }
+    return {{"revision", 0}, {"vms", json::array()}};
+}
+
+net::awaitable<net::HttpResponse> VmListStandin::handle(net::HttpRequest request)
+{
+    if (request.target == "/v1/vms" && request.method == "GET") {
+        co_return net::jsonResponse(200, this->visible(core::Clock::now()));
+    }
+    if (request.target == "/standin/set" && request.method == "POST") {
+        const boost::leaf::result<json::object> body = core::parseJsonObject(request.body);
+        if (!body) {
+            throw core::Error(core::ResultCode::MalformedRequest, "a JSON object is required");
+        }
+        this->set(body.value(), core::Clock::now());
+        const json::object answer{{"revision", this->revision}};
+        co_return net::jsonResponse(200, answer);
+    }
+    throw core::Error(core::ResultCode::UnknownPath, "no such path: " + request.target);
+}
+
+}
