--- /dev/null
+++ b/daemon/cataloguebuilder.cpp
@@ -0,0 +1,67 @@
+#include "daemon/cataloguebuilder.h"
+
+#include "core/json.h"
+#include "document/documentparser.h"
+
+namespace endiveshore::daemon {
+
+CatalogueBuilder::CatalogueBuilder(ProblemSink sink)
+    : sink(std::move(sink))
+{
+}
+
+std::shared_ptr<const Catalogue> CatalogueBuilder::build(std::uint64_t revision, std::span<const CatalogueEntry> entries)
+{
+    auto catalogue = std::make_shared<Catalogue>();
+    catalogue->revision = revision;
+    access::KeyTable::Grants grants;
+    for (const CatalogueEntry &entry : entries) {
+        if (entry.key.starts_with(KeyHashPrefix)) {
+            const std::optional<access::KeyGrant> grant = access::parseGrant(entry.value);
+            if (!grant) {
+                this->sink(entry.key, "not a key grant");
+                continue;
+            }
+            grants.emplace(std::string(entry.key.substr(KeyHashPrefix.size())), *grant);
+            continue;
+        }
+        if (!entry.key.starts_with(ServicePrefix)) {
+            continue;
+        }
+        const std::shared_ptr<const document::ServiceDocument> service = this->parseService(entry);
+        if (service) {
+            catalogue->services.emplace(service->service, service);
+        }
+    }
+    catalogue->keys = std::make_shared<const access::KeyTable>(grants);
+    return catalogue;
+}
+
+std::shared_ptr<const document::ServiceDocument> CatalogueBuilder::parseService(const CatalogueEntry &entry)
+{
+    const auto known = this->parsed.find(entry.key);
+    if (known != this->parsed.end() && known->second.version == entry.version) {
+        return known->second.document;
+    }
+    try {
+        const boost::json::object envelope = core::valueOrThrow([&entry] {
+            return core::parseJsonObject(entry.value);
+        });
+        const boost::json::object *text = core::jsonObject(envelope, "document");
+        if (text == nullptr) {
+            throw core::Error(core::ResultCode::InvalidDocument, "the entry has no document");
+        }
+        document::ServiceDocument parsedDocument = core::valueOrThrow([text] {
+            return document::parseServiceDocument(boost::json::serialize(*text));
+        });
+        auto service = std::make_shared<const document::ServiceDocument>(std::move(parsedDocument));
+        this->parsed[std::string(entry.key)] = {.version = entry.version, .document = service};
+        return service;
+    } catch (const core::Error &error) {
+        this->sink(entry.key, error.message);
+        // The last usable version stays in force.
+        return known == this->parsed.end() ? nullptr : known->second.document;
+    }
+}
+
+}
--- /dev/null
+++ b/daemon/cataloguebuilder.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "daemon/fleetview.h"
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace endiveshore::daemon {
+
+/// Store keys of service documents and of granted keys.
+inline constexpr std::string_view ConfigurationPrefix = "/endiveshore/";
+inline constexpr std::string_view ServicePrefix = "/endiveshore/services/";
+inline constexpr std::string_view KeyHashPrefix = "/endiveshore/keys/";
+
+/// One live configuration entry.
+struct CatalogueEntry
+{
+    std::string_view key;
+    std::string_view value;
+    std::uint64_t version = 0;
+};
+
+/// Builds catalogues from configuration entries. Documents that did not change since the last build are not parsed
+/// again.
+class CatalogueBuilder
+{
+public:
+    /// Called for an entry that cannot be used. The operator command checks before it stores, so this means that the
+    /// store was edited by other means or by a newer version.
+    using ProblemSink = std::function<void(std::string_view key, std::string_view problem)>;
+
+    explicit CatalogueBuilder(ProblemSink sink);
+
+    std::shared_ptr<const Catalogue> build(std::uint64_t revision, std::span<const CatalogueEntry> entries);
+
+private:
+    struct ParsedService
+    {
+        std::uint64_t version = 0;
+        std::shared_ptr<const document::ServiceDocument> document;
+    };
+
+    std::shared_ptr<const document::ServiceDocument> parseService(const CatalogueEntry &entry);
+
+    ProblemSink sink;
+    std::map<std::string, ParsedService, std::less<>> parsed;
+};
+
+}
