--- a/net/peersession.cpp
+++ b/net/peersession.cpp
@@ -1,6 +1,8 @@
 #include "net/peersession.h"
 
 #include "core/error.h"
+#include "net/peerheaders.h"
+#include "net/peersessiondetail.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -8,15 +10,9 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
-#include <nghttp2/nghttp2.h>
-
 #include <netinet/tcp.h>
 
-#include <algorithm>
 #include <array>
-#include <charconv>
-#include <cstring>
-#include <string_view>
 
 namespace endiveshore::net {
 
@@ -35,229 +31,8 @@
 // As for other connections: data unacknowledged for this long closes the connection.
 constexpr int TcpUserTimeoutMs = 5'000;
 
-std::string_view view(const std::uint8_t *bytes, std::size_t size)
-{
-    return {reinterpret_cast<const char *>(bytes), size};
-}
-
-std::uint8_t *mutableBytes(std::string_view text)
-{
-    return reinterpret_cast<std::uint8_t *>(const_cast<char *>(text.data()));
 }
 
-/// Header block with stable storage for names in lower case, as HTTP/2 requires.
-class HeaderBlock
-{
-public:
-    explicit HeaderBlock(const HttpHeaders &headers)
-    {
-        this->names.reserve(headers.size());
-        for (const auto &[name, value] : headers) {
-            std::string lower(name);
-            std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char character) {
-                return static_cast<char>(std::tolower(character));
-            });
-            this->names.push_back(std::move(lower));
-        }
-    }
-
-    void add(std::string_view name, std::string_view value)
-    {
-        this->fields.push_back(
-            {mutableBytes(name), mutableBytes(value), name.size(), value.size(), NGHTTP2_NV_FLAG_NONE});
-    }
-
-    /// Adds the ordinary fields except those that HTTP/2 forbids or derives.
-    void addFields(const HttpHeaders &headers)
-    {
-        static constexpr std::array<std::string_view, 6> ConnectionFields{
-            "connection", "host", "keep-alive", "transfer-encoding", "upgrade", "content-length"};
-        for (std::size_t index = 0; index < headers.size(); ++index) {
-            const std::string &name = this->names[index];
-            if (std::find(ConnectionFields.begin(), ConnectionFields.end(), name) == ConnectionFields.end()) {
-                this->add(name, headers[index].second);
-            }
-        }
-    }
-
-    std::vector<nghttp2_nv> fields;
-
-private:
-    std::vector<std::string> names;
-};
-
-}
-
-struct PeerSession::Stream
-{
-    explicit Stream(const Executor &executor)
-        : done(executor)
-    {
-    }
-
-    HttpRequest request; ///< Received by a server.
-    HttpResponse response; ///< Received by a client.
-    std::string output; ///< Body being sent.
-    std::size_t outputOffset = 0;
-    std::size_t headerBytes = 0;
-    bool oversized = false;
-    bool received = false; ///< The whole message of the other end has arrived.
-    bool sent = false; ///< The end of the own message was handed to the socket.
-    bool closed = false;
-    std::uint32_t errorCode = NGHTTP2_NO_ERROR;
-    std::string failure;
-    asio::steady_timer done;
-};
-
-struct PeerSession::Callbacks
-{
-    static PeerSession &self(void *userData)
-    {
-        return *static_cast<PeerSession *>(userData);
-    }
-
-    static int beginHeaders(nghttp2_session *, const nghttp2_frame *frame, void *userData)
-    {
-        PeerSession &session = self(userData);
-        if (session.role == Role::Server && frame->headers.cat == NGHTTP2_HCAT_REQUEST) {
-            session.streams.emplace(frame->hd.stream_id, std::make_shared<Stream>(session.socket.get_executor()));
-        }
-        return 0;
-    }
-
-    static int header(nghttp2_session *,
-                      const nghttp2_frame *frame,
-                      const std::uint8_t *nameBytes,
-                      std::size_t nameSize,
-                      const std::uint8_t *valueBytes,
-                      std::size_t valueSize,
-                      std::uint8_t,
-                      void *userData)
-    {
-        PeerSession &session = self(userData);
-        Stream *stream = session.findStream(frame->hd.stream_id);
-        if (stream == nullptr) {
-            return 0;
-        }
-        stream->headerBytes += nameSize + valueSize;
-        if (stream->headerBytes > session.options.maxHeaderBytes) {
-            stream->oversized = true;
-            return 0;
-        }
-        const std::string_view name = view(nameBytes, nameSize);
-        const std::string_view value = view(valueBytes, valueSize);
-        if (name == ":method") {
-            stream->request.method = value;
-        } else if (name == ":path") {
-            stream->request.target = value;
-        } else if (name == ":status") {
-            std::from_chars(value.data(), value.data() + value.size(), stream->response.status);
-        } else if (!name.starts_with(':')) {
-            HttpHeaders &headers = session.role == Role::Server ? stream->request.headers : stream->response.headers;
-            headers.emplace_back(name, value);
-        }
-        return 0;
-    }
-
-    static int dataChunk(nghttp2_session *,
-                         std::uint8_t,
-                         std::int32_t streamId,
-                         const std::uint8_t *bytes,
-                         std::size_t size,
-                         void *userData)
-    {
-        PeerSession &session = self(userData);
-        Stream *stream = session.findStream(streamId);
-        if (stream == nullptr || stream->oversized) {
-            return 0;
-        }
-        std::string &body = session.role == Role::Server ? stream->request.body : stream->response.body;
-        if (body.size() + size > session.options.maxBodyBytes) {
-            session.refuseOversized(streamId, *stream);
-            return 0;
-        }
-        body.append(view(bytes, size));
-        return 0;
-    }
-
-    static int frameReceived(nghttp2_session *, const nghttp2_frame *frame, void *userData)
-    {
-        PeerSession &session = self(userData);
-        if (frame->hd.type == NGHTTP2_GOAWAY) {
-            session.leaving = true;
-            return 0;
-        }
-        if (frame->hd.type != NGHTTP2_HEADERS && frame->hd.type != NGHTTP2_DATA) {
-            return 0;
-        }
-        Stream *stream = session.findStream(frame->hd.stream_id);
-        if (stream == nullptr) {
-            return 0;
-        }
-        if (frame->hd.type == NGHTTP2_HEADERS && stream->oversized) {
-            session.refuseOversized(frame->hd.stream_id, *stream);
-            return 0;
-        }
-        if ((frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0) {
-            session.receiveEndOfMessage(frame->hd.stream_id, *stream);
-        }
-        return 0;
-    }
-
-    static int frameSent(nghttp2_session *, const nghttp2_frame *frame, void *userData)
-    {
-        PeerSession &session = self(userData);
-        if (session.role != Role::Server || frame->hd.type != NGHTTP2_DATA
-            || (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) == 0) {
-            return 0;
-        }
-        const Stream *stream = session.findStream(frame->hd.stream_id);
-        if (stream != nullptr && !stream->received) {
-            // The answer to an oversized request is complete; the rest of the request is not wanted.
-            session.reset(frame->hd.stream_id, NGHTTP2_NO_ERROR);
-        }
-        return 0;
-    }
-
-    static int streamClosed(nghttp2_session *, std::int32_t streamId, std::uint32_t errorCode, void *userData)
-    {
-        PeerSession &session = self(userData);
-        const auto found = session.streams.find(streamId);
-        if (found == session.streams.end()) {
-            return 0;
-        }
-        const std::shared_ptr<Stream> stream = found->second;
-        session.streams.erase(found);
-        stream->closed = true;
-        stream->errorCode = errorCode;
-        stream->failure = std::string("stream closed: ") + nghttp2_http2_strerror(errorCode);
-        stream->done.cancel();
-        return 0;
-    }
-
-    static ssize_t readBody(nghttp2_session *,
-                            std::int32_t streamId,
-                            std::uint8_t *buffer,
-                            std::size_t size,
-                            std::uint32_t *flags,
-                            nghttp2_data_source *,
-                            void *userData)
-    {
-        Stream *stream = self(userData).findStream(streamId);
-        if (stream == nullptr) {
-            return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
-        }
-        const std::size_t count = std::min(size, stream->output.size() - stream->outputOffset);
-        std::memcpy(buffer, stream->output.data() + stream->outputOffset, count);
-        stream->outputOffset += count;
-        if (stream->outputOffset == stream->output.size()) {
-            *flags |= NGHTTP2_DATA_FLAG_EOF;
-            stream->sent = true;
-        }
-        return static_cast<ssize_t>(count);
-    }
-};
-
 void configurePeerSocket(asio::ip::tcp::socket &socket)
 {
     boost::system::error_code ignored;
@@ -281,12 +56,7 @@
 
     nghttp2_session_callbacks *callbacks = nullptr;
     nghttp2_session_callbacks_new(&callbacks);
-    nghttp2_session_callbacks_set_on_begin_headers_callback(callbacks, &Callbacks::beginHeaders);
-    nghttp2_session_callbacks_set_on_header_callback(callbacks, &Callbacks::header);
-    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, &Callbacks::dataChunk);
-    nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, &Callbacks::frameReceived);
-    nghttp2_session_callbacks_set_on_frame_send_callback(callbacks, &Callbacks::frameSent);
-    nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, &Callbacks::streamClosed);
+    Callbacks::install(callbacks);
     if (role == Role::Server) {
         nghttp2_session_server_new(&this->session, callbacks, this);
     } else {
@@ -327,7 +97,7 @@
     const auto stream = std::make_shared<Stream>(this->socket.get_executor());
     stream->output = std::move(request.body);
     stream->response.status = 0;
-    HeaderBlock block(request.headers);
+    PeerHeaderBlock block(request.headers);
     block.add(":method", request.method);
     block.add(":scheme", "http");
     block.add(":authority", this->authority);
@@ -449,7 +219,7 @@
         if (size == 0) {
             break;
         }
-        output.append(view(bytes, static_cast<std::size_t>(size)));
+        output.append(reinterpret_cast<const char *>(bytes), static_cast<std::size_t>(size));
     }
     return output;
 }
@@ -573,7 +343,7 @@
     }
     stream->output = std::move(response.body);
     const std::string status = std::to_string(response.status);
-    HeaderBlock block(response.headers);
+    PeerHeaderBlock block(response.headers);
     block.add(":status", status);
     block.addFields(response.headers);
     nghttp2_data_provider provider{};
