--- a/daemon/callerfrontend.h
+++ b/daemon/callerfrontend.h
@@ -7,6 +7,7 @@
 #include "session/sessiontoken.h"
 
 #include <functional>
+#include <span>
 #include <string>
 #include <vector>
 
--- a/daemon/cataloguebuilder.cpp
+++ b/daemon/cataloguebuilder.cpp
@@ -10,7 +10,8 @@
 {
 }
 
-std::shared_ptr<const Catalogue> CatalogueBuilder::build(std::uint64_t revision, std::span<const CatalogueEntry> entries)
+std::shared_ptr<const Catalogue> CatalogueBuilder::build(std::uint64_t revision,
+                                                         std::span<const CatalogueEntry> entries)
 {
     auto catalogue = std::make_shared<Catalogue>();
     catalogue->revision = revision;
@@ -44,16 +45,14 @@
         return known->second.document;
     }
     try {
-        const boost::json::object envelope = core::valueOrThrow([&entry] {
-            return core::parseJsonObject(entry.value);
-        });
+        const boost::json::object envelope
+            = core::valueOrThrow([&entry] { return core::parseJsonObject(entry.value); });
         const boost::json::object *text = core::jsonObject(envelope, "document");
         if (text == nullptr) {
             throw core::Error(core::ResultCode::InvalidDocument, "the entry has no document");
         }
-        document::ServiceDocument parsedDocument = core::valueOrThrow([text] {
-            return document::parseServiceDocument(boost::json::serialize(*text));
-        });
+        document::ServiceDocument parsedDocument
+            = core::valueOrThrow([text] { return document::parseServiceDocument(boost::json::serialize(*text)); });
         auto service = std::make_shared<const document::ServiceDocument>(std::move(parsedDocument));
         this->parsed[std::string(entry.key)] = {.version = entry.version, .document = service};
         return service;
--- a/daemon/cataloguebuilder.h
+++ b/daemon/cataloguebuilder.h
@@ -3,6 +3,7 @@
 #include "daemon/fleetview.h"
 
 #include <functional>
+#include <span>
 #include <string>
 #include <string_view>
 
--- a/daemon/daemonsettings.h
+++ b/daemon/daemonsettings.h
@@ -32,9 +32,9 @@
     std::vector<net::TcpEndpoint> seeds;
     std::vector<std::string> sessionSecrets;
     int trafficThreads = 2;
-    core::Milliseconds drainLag {};
-    core::Milliseconds drainLimit {};
-    core::Milliseconds handoverWait {};
+    core::Milliseconds drainLag{};
+    core::Milliseconds drainLimit{};
+    core::Milliseconds handoverWait{};
     bool readFromReplicas = true;
     bool relayConfiguration = true;
     RateMode rateMode = RateMode::Shares;
--- a/daemon/fleetview.h
+++ b/daemon/fleetview.h
@@ -34,6 +34,7 @@
     std::string member; ///< Daemon id.
     net::TcpEndpoint peerEndpoint;
     bool own = false; ///< This daemon is the home and may send statements.
+    bool handover = false; ///< Another daemon was the home before and did not release the server.
 };
 
 /// Data needed to reach a backend server as its home.
--- a/daemon/homeclient.cpp
+++ b/daemon/homeclient.cpp
@@ -1,6 +1,7 @@
 #include "daemon/homeclient.h"
 
 #include "core/json.h"
+#include "daemon/transactionid.h"
 
 namespace endiveshore::daemon {
 
@@ -25,12 +26,6 @@
     return "rollback";
 }
 
-std::string_view transactionOwner(std::string_view transactionId)
-{
-    const std::size_t separator = transactionId.rfind('.');
-    return separator == std::string_view::npos ? std::string_view() : transactionId.substr(0, separator);
-}
-
 HomeClient::HomeClient(std::string memberId,
                        net::PeerClient &peers,
                        LocalExecute localExecute,
--- a/daemon/homeclient.h
+++ b/daemon/homeclient.h
@@ -49,7 +49,4 @@
     LocalTransaction localTransaction;
 };
 
-/// Daemon id in front of the random part of a transaction id.
-std::string_view transactionOwner(std::string_view transactionId);
-
 }
--- /dev/null
+++ b/daemon/homeregistry.cpp
@@ -0,0 +1,127 @@
+#include "daemon/homeregistry.h"
+
+#include <algorithm>
+
+namespace endiveshore::daemon {
+
+HomeRegistry::HomeRegistry(net::Executor executor,
+                           HomeRegistryOptions options,
+                           Ownership ownership,
+                           HomeCheck homeCheck,
+                           SlotQueue::WaitObserver observer,
+                           DecisionSink sink)
+    : executor(std::move(executor))
+    , options(std::move(options))
+    , ownership(std::move(ownership))
+    , homeCheck(std::move(homeCheck))
+    , observer(std::move(observer))
+    , sink(std::move(sink))
+{
+}
+
+void HomeRegistry::setView(std::shared_ptr<const FleetView> newView)
+{
+    this->view = std::move(newView);
+    std::erase_if(this->closing, [](const std::shared_ptr<ServerHome> &home) {
+        if (home->activity() > 0) {
+            return false;
+        }
+        home->close();
+        return true;
+    });
+    std::erase_if(this->owned, [this](const auto &item) {
+        const auto home = this->view->homes.find(item.first);
+        if (home != this->view->homes.end() && home->second.own && this->view->servers.contains(item.first)) {
+            return false;
+        }
+        this->sink(item.first,
+                   "release_home",
+                   home == this->view->homes.end() ? "server removed" : "another daemon is the home");
+        this->closing.push_back(item.second);
+        return true;
+    });
+    for (const auto &[key, home] : this->view->homes) {
+        if (!home.own || !this->ownership(key) || this->owned.contains(key)) {
+            continue;
+        }
+        const auto server = this->view->servers.find(key);
+        if (server == this->view->servers.end()) {
+            continue;
+        }
+        ServerHomeOptions homeOptions;
+        homeOptions.memberId = this->options.memberId;
+        homeOptions.serverKey = key;
+        homeOptions.server = server->second;
+        homeOptions.handoverWait = home.handover ? this->options.handoverWait : core::Duration::zero();
+        const auto check = [this, key = key] { return this->isHome(key); };
+        this->owned.emplace(key, std::make_shared<ServerHome>(this->executor, homeOptions, check, this->observer));
+        this->sink(key, "become_home", home.handover ? "taken over from another daemon" : "first home");
+    }
+    for (const auto &[key, home] : this->owned) {
+        home->update(*this->view);
+    }
+}
+
+net::awaitable<StatementAnswer> HomeRegistry::execute(StatementCall call)
+{
+    const std::shared_ptr<ServerHome> home = this->homeFor(call, core::Outcome::NotRun);
+    co_return co_await home->execute(std::move(call));
+}
+
+net::awaitable<StatementAnswer> HomeRegistry::transact(TransactionStep step, StatementCall call)
+{
+    // A transaction that is gone may have been committed by an earlier attempt whose answer was lost.
+    const core::Outcome unknownOutcome
+        = step == TransactionStep::Commit ? core::Outcome::Unknown : core::Outcome::NotRun;
+    const std::shared_ptr<ServerHome> home = this->homeFor(call, unknownOutcome);
+    co_return co_await home->transact(step, std::move(call));
+}
+
+std::size_t HomeRegistry::activity() const
+{
+    std::size_t total = 0;
+    for (const auto &[key, home] : this->owned) {
+        total += home->activity();
+    }
+    for (const std::shared_ptr<ServerHome> &home : this->closing) {
+        total += home->activity();
+    }
+    return total;
+}
+
+const std::unordered_map<std::string, std::shared_ptr<ServerHome>> &HomeRegistry::homes() const
+{
+    return this->owned;
+}
+
+std::shared_ptr<ServerHome> HomeRegistry::homeFor(const StatementCall &call, core::Outcome unknownOutcome) const
+{
+    if (!call.transaction.empty()) {
+        for (const auto &[key, home] : this->owned) {
+            if (home->holdsTransaction(call.transaction)) {
+                return home;
+            }
+        }
+        for (const std::shared_ptr<ServerHome> &home : this->closing) {
+            if (home->holdsTransaction(call.transaction)) {
+                return home;
+            }
+        }
+        core::Error error(core::ResultCode::UnknownTransaction, "the transaction is not open");
+        error.outcome = unknownOutcome;
+        throw error;
+    }
+    const auto home = this->owned.find(call.server);
+    if (home == this->owned.end()) {
+        throw core::Error(core::ResultCode::NotHome, "this daemon is not the home of server " + call.server);
+    }
+    return home->second;
+}
+
+bool HomeRegistry::isHome(const std::string &serverKey) const
+{
+    const auto home = this->view->homes.find(serverKey);
+    return home != this->view->homes.end() && home->second.own && this->homeCheck(this->view->homeEpoch);
+}
+
+}
--- /dev/null
+++ b/daemon/serverhome.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "backend/connectionpool.h"
+#include "daemon/fleetview.h"
+#include "daemon/homeclient.h"
+#include "daemon/replicationtracker.h"
+#include "daemon/slotqueue.h"
+#include "daemon/statementcall.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace endiveshore::daemon {
+
+struct ServerHomeOptions
+{
+    std::string memberId; ///< This daemon; prefix of transaction ids.
+    std::string serverKey;
+    ServerView server;
+    core::Duration handoverWait{}; ///< Time before the first statement after taking over from another daemon.
+};
+
+/// Queue, slots, connections and open transactions of one backend server, at the server's home daemon. Runs on one
+/// executor.
+class ServerHome : public std::enable_shared_from_this<ServerHome>
+{
+public:
+    /// True while this daemon may send statements to the server.
+    using HomeCheck = std::function<bool()>;
+
+    ServerHome(net::Executor executor, ServerHomeOptions options, HomeCheck isHome, SlotQueue::WaitObserver observer);
+
+    /// Applies the group's primary and the addresses of its servers, and the weights of the workspaces.
+    void update(const FleetView &view);
+
+    /// Runs a statement. A write is answered after a replica has received it in the same term. Throws core::Error.
+    net::awaitable<StatementAnswer> execute(StatementCall call);
+
+    /// Begins, commits or rolls back a transaction on a pinned connection. Throws core::Error.
+    net::awaitable<StatementAnswer> transact(TransactionStep step, StatementCall call);
+
+    /// True if @p transaction is open here.
+    bool holdsTransaction(const std::string &transaction) const;
+
+    /// Statements running or waiting and transactions open; zero once drained.
+    std::size_t activity() const;
+
+    const SlotQueue &queue() const;
+    backend::ConnectionPoolCounters connectionCounters() const;
+
+    /// Ends waits and closes idle connections.
+    void close();
+
+private:
+    struct Transaction
+    {
+        explicit Transaction(backend::ConnectionPool::Lease lease)
+            : lease(std::move(lease))
+        {
+        }
+        backend::ConnectionPool::Lease lease;
+        std::string workspace;
+        std::uint64_t term = 0;
+        core::TimePoint lastUse;
+        bool busy = false;
+    };
+
+    net::awaitable<StatementAnswer> executeOnce(StatementCall call);
+    net::awaitable<StatementAnswer> executeInTransaction(StatementCall call);
+    net::awaitable<StatementAnswer> begin(StatementCall call);
+    net::awaitable<StatementAnswer> commit(StatementCall call);
+    net::awaitable<StatementAnswer> rollback(StatementCall call);
+    net::awaitable<void> expireTransactions();
+    net::awaitable<void>
+    confirm(StatementAnswer &answer, const backend::StatementResult &result, const StatementCall &call);
+    std::shared_ptr<Transaction> useTransaction(const StatementCall &call);
+    StatementAnswer answerOf(const backend::StatementResult &result) const;
+    std::shared_ptr<ReplicationTracker> trackerFor(std::uint64_t term);
+    void requireHome() const;
+
+    net::Executor executor;
+    ServerHomeOptions options;
+    HomeCheck isHome;
+    SlotQueue slotQueue;
+    backend::ConnectionPool pool;
+    std::vector<net::TcpEndpoint> otherServers;
+    std::shared_ptr<ReplicationTracker> tracker;
+    std::map<std::string, std::shared_ptr<Transaction>> transactions;
+    core::TimePoint usableFrom;
+    std::size_t running = 0;
+    bool expiryRunning = false;
+    bool closed = false;
+};
+
+}
--- a/daemon/slotqueue.cpp
+++ b/daemon/slotqueue.cpp
@@ -48,7 +48,8 @@
     this->queue.setSlots(slots);
 }
 
-net::awaitable<SlotQueue::Slot> SlotQueue::acquire(std::string workspace, queueing::Priority priority, core::TimePoint deadline)
+net::awaitable<SlotQueue::Slot>
+SlotQueue::acquire(std::string workspace, queueing::Priority priority, core::TimePoint deadline)
 {
     auto ticket = std::make_shared<Ticket>(this->executor, deadline);
     queueing::QueueTicket request;
--- /dev/null
+++ b/daemon/trafficthread.cpp
@@ -0,0 +1,192 @@
+#include "daemon/trafficthread.h"
+
+#include "core/hashing.h"
+#include "daemon/transactionid.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace endiveshore::daemon {
+
+namespace asio = boost::asio;
+
+TrafficThread::TrafficThread(TrafficOptions options, TrafficHooks hooks, std::size_t index, TrafficPool &pool)
+    : work(this->context.get_executor())
+    , view(std::make_shared<const FleetView>())
+    , pool(pool)
+    , options(options)
+    , registry(
+          this->context.get_executor(),
+          HomeRegistryOptions{.memberId = options.memberId, .handoverWait = options.handoverWait},
+          [this](const std::string &serverKey) { return &this->pool.owner(serverKey) == this; },
+          hooks.homeCheck,
+          hooks.queueWait,
+          hooks.homeDecision)
+    , peers(this->context.get_executor(), net::PeerClientOptions{.onRefused = hooks.peerRefused})
+    , homeClient(
+          options.memberId,
+          this->peers,
+          [this](StatementCall call) { return this->executeLocally(std::move(call)); },
+          [this](TransactionStep step, StatementCall call) { return this->transactLocally(step, std::move(call)); })
+    , router(
+          StatementRouterOptions{.dataCentre = options.dataCentre,
+                                 .readFromReplicas = options.readFromReplicas,
+                                 .seed = core::stableHash(options.memberId) + index},
+          [this] { return this->view; },
+          this->homeClient,
+          hooks.routeDecision)
+    , frontend(CallerFrontendOptions{.sessionSecrets = options.sessionSecrets},
+               CallerFrontendHooks{.view = [this] { return this->view; },
+                                   .admit = hooks.admit,
+                                   .leaving = hooks.leaving,
+                                   .finished = hooks.finished},
+               this->router)
+{
+    this->server = std::make_shared<net::HttpServer>(
+        [this](net::HttpRequest request, net::HttpConnection &) { return this->frontend.handle(std::move(request)); });
+}
+
+TrafficThread::~TrafficThread()
+{
+    this->stop();
+}
+
+void TrafficThread::start()
+{
+    this->server->listen(this->context.get_executor(), this->options.listen, true);
+    this->thread = std::thread([this] { this->context.run(); });
+}
+
+void TrafficThread::stop()
+{
+    this->context.stop();
+    if (this->thread.joinable()) {
+        this->thread.join();
+    }
+}
+
+net::Executor TrafficThread::executor()
+{
+    return this->context.get_executor();
+}
+
+void TrafficThread::setView(std::shared_ptr<const FleetView> newView)
+{
+    asio::post(this->context, [this, newView = std::move(newView)] {
+        this->view = newView;
+        this->registry.setView(newView);
+    });
+}
+
+HomeRegistry &TrafficThread::homes()
+{
+    return this->registry;
+}
+
+net::HttpServer &TrafficThread::callers()
+{
+    return *this->server;
+}
+
+net::awaitable<StatementAnswer> TrafficThread::executeLocally(StatementCall call)
+{
+    co_return co_await this->pool.execute(std::move(call));
+}
+
+net::awaitable<StatementAnswer> TrafficThread::transactLocally(TransactionStep step, StatementCall call)
+{
+    co_return co_await this->pool.transact(step, std::move(call));
+}
+
+TrafficPool::TrafficPool(TrafficOptions options, TrafficHooks hooks)
+{
+    for (int index = 0; index < options.threads; ++index) {
+        this->threads.push_back(
+            std::make_unique<TrafficThread>(options, hooks, static_cast<std::size_t>(index), *this));
+    }
+}
+
+void TrafficPool::publish(std::shared_ptr<const FleetView> view)
+{
+    for (const std::unique_ptr<TrafficThread> &thread : this->threads) {
+        thread->setView(view);
+    }
+}
+
+TrafficThread &TrafficPool::owner(std::string_view serverKey)
+{
+    return *this->threads[core::stableHash(serverKey) % this->threads.size()];
+}
+
+TrafficThread &TrafficPool::threadFor(const StatementCall &call)
+{
+    if (call.transaction.empty()) {
+        return this->owner(call.server);
+    }
+    return *this->threads[transactionServerHash(call.transaction) % this->threads.size()];
+}
+
+net::awaitable<StatementAnswer> TrafficPool::execute(StatementCall call)
+{
+    TrafficThread &thread = this->threadFor(call);
+    co_return co_await asio::co_spawn(thread.executor(), thread.homes().execute(std::move(call)), asio::use_awaitable);
+}
+
+net::awaitable<StatementAnswer> TrafficPool::transact(TransactionStep step, StatementCall call)
+{
+    TrafficThread &thread = this->threadFor(call);
+    co_return co_await asio::co_spawn(
+        thread.executor(), thread.homes().transact(step, std::move(call)), asio::use_awaitable);
+}
+
+net::awaitable<std::size_t> TrafficPool::activity()
+{
+    std::size_t total = 0;
+    for (const std::unique_ptr<TrafficThread> &thread : this->threads) {
+        const auto count = [&thread]() -> net::awaitable<std::size_t> { co_return thread->homes().activity(); };
+        total += co_await asio::co_spawn(thread->executor(), count(), asio::use_awaitable);
+    }
+    co_return total;
+}
+
+std::size_t TrafficPool::activeRequests()
+{
+    std::size_t total = 0;
+    for (const std::unique_ptr<TrafficThread> &thread : this->threads) {
+        total += thread->callers().activeRequests();
+    }
+    return total;
+}
+
+std::vector<net::Executor> TrafficPool::executors()
+{
+    std::vector<net::Executor> result;
+    for (const std::unique_ptr<TrafficThread> &thread : this->threads) {
+        result.push_back(thread->executor());
+    }
+    return result;
+}
+
+void TrafficPool::start()
+{
+    for (const std::unique_ptr<TrafficThread> &thread : this->threads) {
+        thread->start();
+    }
+}
+
+void TrafficPool::stopAccepting()
+{
+    for (const std::unique_ptr<TrafficThread> &thread : this->threads) {
+        thread->callers().stop();
+    }
+}
+
+void TrafficPool::stop()
+{
+    for (const std::unique_ptr<TrafficThread> &thread : this->threads) {
+        thread->stop();
+    }
+}
+
+}
--- /dev/null
+++ b/daemon/trafficthread.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "daemon/callerfrontend.h"
+#include "daemon/homeclient.h"
+#include "daemon/homeregistry.h"
+#include "daemon/statementrouter.h"
+#include "net/httpserver.h"
+#include "net/peerclient.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <thread>
+#include <vector>
+
+namespace endiveshore::daemon {
+
+struct TrafficOptions
+{
+    std::string memberId;
+    std::string dataCentre;
+    net::TcpEndpoint listen;
+    std::vector<std::string> sessionSecrets;
+    core::Duration handoverWait{};
+    bool readFromReplicas = true;
+    int threads = 1;
+};
+
+/// What the traffic threads need from the rest of the daemon. All functions are called on traffic threads.
+struct TrafficHooks
+{
+    HomeRegistry::HomeCheck homeCheck;
+    std::function<net::awaitable<void>(std::string service, std::string workspace, core::TimePoint deadline)> admit;
+    std::function<bool()> leaving;
+    std::function<void(core::ResultCode code, core::Outcome outcome, const StatementAnswer *answer)> finished;
+    SlotQueue::WaitObserver queueWait;
+    StatementRouter::DecisionSink routeDecision;
+    HomeRegistry::DecisionSink homeDecision;
+    std::function<void(const net::TcpEndpoint &endpoint)> peerRefused;
+};
+
+/// One event loop that serves callers and owns the homes of some servers.
+class TrafficThread
+{
+public:
+    TrafficThread(TrafficOptions options, TrafficHooks hooks, std::size_t index, class TrafficPool &pool);
+    ~TrafficThread();
+
+    void start();
+    void stop();
+    net::Executor executor();
+    void setView(std::shared_ptr<const FleetView> view);
+    HomeRegistry &homes();
+    net::HttpServer &callers();
+
+private:
+    net::awaitable<StatementAnswer> executeLocally(StatementCall call);
+    net::awaitable<StatementAnswer> transactLocally(TransactionStep step, StatementCall call);
+
+    boost::asio::io_context context{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
+    std::shared_ptr<const FleetView> view;
+    TrafficPool &pool;
+    TrafficOptions options;
+    HomeRegistry registry;
+    net::PeerClient peers;
+    HomeClient homeClient;
+    StatementRouter router;
+    CallerFrontend frontend;
+    std::shared_ptr<net::HttpServer> server;
+    std::thread thread;
+};
+
+/// All traffic threads of a daemon.
+class TrafficPool
+{
+public:
+    TrafficPool(TrafficOptions options, TrafficHooks hooks);
+
+    /// Publishes a view to all threads.
+    void publish(std::shared_ptr<const FleetView> view);
+
+    /// Thread that owns the queue of a server.
+    TrafficThread &owner(std::string_view serverKey);
+
+    /// Thread that runs @p call: the owner of the transaction's server, else of the named server.
+    TrafficThread &threadFor(const StatementCall &call);
+
+    /// Runs a call of another daemon at one of this daemon's homes. May be awaited on any executor.
+    net::awaitable<StatementAnswer> execute(StatementCall call);
+    net::awaitable<StatementAnswer> transact(TransactionStep step, StatementCall call);
+
+    /// Calls running and transactions open, over all threads.
+    net::awaitable<std::size_t> activity();
+
+    /// Requests of callers in progress.
+    std::size_t activeRequests();
+
+    /// Executors of the threads, in order.
+    std::vector<net::Executor> executors();
+
+    void start();
+    /// Stops accepting callers.
+    void stopAccepting();
+    void stop();
+
+private:
+    std::vector<std::unique_ptr<TrafficThread>> threads;
+};
+
+}
--- a/tests/tools/test_historychecker.cpp
+++ b/tests/tools/test_historychecker.cpp
@@ -8,7 +8,11 @@
 
 namespace {
 
-HistoryEvent write(std::string session, std::string key, std::string value, std::int64_t start, EventOutcome outcome = EventOutcome::Done)
+HistoryEvent write(std::string session,
+                   std::string key,
+                   std::string value,
+                   std::int64_t start,
+                   EventOutcome outcome = EventOutcome::Done)
 {
     HistoryEvent event;
     event.kind = EventKind::Write;
@@ -47,7 +51,7 @@
 // Guards against a checker that reports violations in a correct run.
 TEST(HistoryChecker, AcceptsACorrectHistory)
 {
-    const std::vector<HistoryEvent> events {
+    const std::vector<HistoryEvent> events{
         write("s1", "db:a", "v1", 0),
         read("s1", "db:a", {"v1"}, 20),
         read("s2", "db:a", {}, 20),
@@ -61,35 +65,38 @@
 // Guards against a checker that overlooks an acknowledged write that a failover lost.
 TEST(HistoryChecker, RejectsALostWrite)
 {
-    const std::vector<HistoryEvent> events {write("s1", "db:a", "v1", 0), finalState("db:a", {})};
+    const std::vector<HistoryEvent> events{write("s1", "db:a", "v1", 0), finalState("db:a", {})};
     EXPECT_EQ(checkHistory(events).lostWrites.size(), 1u);
 }
 
 // Guards against a checker that overlooks a statement that ran twice.
 TEST(HistoryChecker, RejectsADoubledWrite)
 {
-    const std::vector<HistoryEvent> events {write("s1", "db:a", "v1", 0, EventOutcome::Unknown), finalState("db:a", {"v1", "v1"})};
+    const std::vector<HistoryEvent> events{write("s1", "db:a", "v1", 0, EventOutcome::Unknown),
+                                           finalState("db:a", {"v1", "v1"})};
     EXPECT_EQ(checkHistory(events).doubledWrites.size(), 1u);
 }
 
 // Guards against a checker that trusts a refusal.
 TEST(HistoryChecker, RejectsAFalseNotRun)
 {
-    const std::vector<HistoryEvent> events {write("s1", "db:a", "v1", 0, EventOutcome::NotRun), finalState("db:a", {"v1"})};
+    const std::vector<HistoryEvent> events{write("s1", "db:a", "v1", 0, EventOutcome::NotRun),
+                                           finalState("db:a", {"v1"})};
     EXPECT_EQ(checkHistory(events).falseNotRun.size(), 1u);
 }
 
 // Guards against a checker that overlooks a read behind the session's own write.
 TEST(HistoryChecker, RejectsAStaleSessionRead)
 {
-    const std::vector<HistoryEvent> events {write("s1", "db:a", "v1", 0), read("s1", "db:a", {}, 20), finalState("db:a", {"v1"})};
+    const std::vector<HistoryEvent> events{
+        write("s1", "db:a", "v1", 0), read("s1", "db:a", {}, 20), finalState("db:a", {"v1"})};
     EXPECT_EQ(checkHistory(events).staleSessionReads.size(), 1u);
 }
 
 // Guards against a checker that overlooks an answer to another request.
 TEST(HistoryChecker, RejectsACrossedAnswer)
 {
-    const std::vector<HistoryEvent> events {write("s1", "db:a", "v1", 0), read("s2", "db:b", {"v1"}, 20)};
+    const std::vector<HistoryEvent> events{write("s1", "db:a", "v1", 0), read("s2", "db:b", {"v1"}, 20)};
     EXPECT_EQ(checkHistory(events).crossedAnswers.size(), 1u);
 }
 
@@ -99,7 +106,7 @@
     HistoryEvent transaction = write("s1", "db:a", "v1", 0, EventOutcome::Unknown);
     transaction.kind = EventKind::Transaction;
     transaction.secondKey = "db:b";
-    const std::vector<HistoryEvent> events {transaction, finalState("db:a", {"v1"}), finalState("db:b", {})};
+    const std::vector<HistoryEvent> events{transaction, finalState("db:a", {"v1"}), finalState("db:b", {})};
     EXPECT_EQ(checkHistory(events).splitTransactions.size(), 1u);
 }
 
@@ -108,7 +115,7 @@
 {
     HistoryEvent newer = write("s1", "db:a", "v1", 0);
     newer.term = 2;
-    const std::vector<HistoryEvent> events {newer, write("s2", "db:a", "v2", 100)};
+    const std::vector<HistoryEvent> events{newer, write("s2", "db:a", "v2", 100)};
     EXPECT_EQ(checkHistory(events).termViolations.size(), 1u);
 }
 
--- a/tools/history.cpp
+++ b/tools/history.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 4> KindNames {"write", "read", "transaction", "final"};
-constexpr std::array<std::string_view, 3> OutcomeNames {"done", "not_run", "unknown"};
+constexpr std::array<std::string_view, 4> KindNames{"write", "read", "transaction", "final"};
+constexpr std::array<std::string_view, 3> OutcomeNames{"done", "not_run", "unknown"};
 
 template<typename Names>
 std::size_t indexOf(const Names &names, std::string_view name, std::size_t line)
@@ -23,7 +23,8 @@
             return index;
         }
     }
-    throw core::Error(core::ResultCode::MalformedRequest, "line " + std::to_string(line) + ": unknown name " + std::string(name));
+    throw core::Error(core::ResultCode::MalformedRequest,
+                      "line " + std::to_string(line) + ": unknown name " + std::string(name));
 }
 
 json::object toJson(const HistoryEvent &event)
@@ -100,9 +101,7 @@
         if (text.empty()) {
             continue;
         }
-        const json::object object = core::valueOrThrow([&text] {
-            return core::parseJsonObject(text);
-        });
+        const json::object object = core::valueOrThrow([&text] { return core::parseJsonObject(text); });
         events.push_back(fromJson(object, line));
     }
     return events;
--- a/tools/historychecker.cpp
+++ b/tools/historychecker.cpp
@@ -14,8 +14,8 @@
 
 std::string describe(const HistoryEvent &event)
 {
-    return std::string(eventKindName(event.kind)) + " of session " + event.session + " on " + event.key + " value " + event.value + " at "
-        + std::to_string(event.startUs) + " us";
+    return std::string(eventKindName(event.kind)) + " of session " + event.session + " on " + event.key + " value "
+        + event.value + " at " + std::to_string(event.startUs) + " us";
 }
 
 std::map<std::string, ValueCounts> finalStates(std::span<const HistoryEvent> events)
@@ -157,8 +157,9 @@
 
 std::size_t HistoryReport::violations() const
 {
-    return this->lostWrites.size() + this->doubledWrites.size() + this->falseNotRun.size() + this->staleSessionReads.size()
-        + this->crossedAnswers.size() + this->splitTransactions.size() + this->termViolations.size();
+    return this->lostWrites.size() + this->doubledWrites.size() + this->falseNotRun.size()
+        + this->staleSessionReads.size() + this->crossedAnswers.size() + this->splitTransactions.size()
+        + this->termViolations.size();
 }
 
 HistoryReport checkHistory(std::span<const HistoryEvent> events)
