--- /dev/null
+++ b/confsync/entrystore.cpp
@@ -0,0 +1,145 @@
+#include "confsync/entrystore.h"
+
+#include <algorithm>
+#include <set>
+
+namespace endiveshore::confsync {
+
+EntryStore::EntryStore(std::size_t maxTombstones)
+    : maxTombstones(maxTombstones)
+{
+}
+
+MergeResult EntryStore::applySnapshot(std::span<const EntryChange> entries, std::int64_t revision)
+{
+    if (revision <= this->currentRevision) {
+        return MergeResult::Stale;
+    }
+    std::set<std::string_view> present;
+    for (const EntryChange &entry : entries) {
+        present.insert(entry.key);
+        this->set(entry);
+    }
+    for (auto &[key, entry] : this->entries) {
+        if (entry.deleted || present.contains(key)) {
+            continue;
+        }
+        // The revision of the deletion is unknown. An entry created anew up to the snapshot would be part of it, so
+        // the snapshot's revision is a safe version.
+        entry = {.value = {}, .version = revision, .deleted = true};
+        ++this->tombstones;
+    }
+    // Entries that were created and deleted between the old revision and the snapshot left no tombstone here.
+    this->tombstoneFloor = revision;
+    this->currentRevision = revision;
+    this->pruneTombstones();
+    return MergeResult::Applied;
+}
+
+MergeResult EntryStore::applyEvents(std::span<const EntryChange> events, std::int64_t since, std::int64_t revision)
+{
+    if (revision <= this->currentRevision) {
+        return MergeResult::Stale;
+    }
+    if (since > this->currentRevision) {
+        return MergeResult::Gap;
+    }
+    const std::int64_t known = this->currentRevision;
+    for (const EntryChange &event : events) {
+        if (event.version > known && event.version <= revision) {
+            this->set(event);
+        }
+    }
+    this->currentRevision = revision;
+    this->pruneTombstones();
+    return MergeResult::Applied;
+}
+
+MergeResult EntryStore::mergeDelta(const Delta &delta)
+{
+    return delta.full ? this->applySnapshot(delta.entries, delta.revision)
+                      : this->applyEvents(delta.entries, delta.since, delta.revision);
+}
+
+Delta EntryStore::delta(std::int64_t since) const
+{
+    Delta delta{.since = since, .revision = this->currentRevision, .full = since < this->tombstoneFloor, .entries = {}};
+    for (const auto &[key, entry] : this->entries) {
+        const bool wanted = delta.full ? !entry.deleted : entry.version > since;
+        if (wanted) {
+            delta.entries.push_back(
+                {.key = key, .value = entry.value, .version = entry.version, .deleted = entry.deleted});
+        }
+    }
+    return delta;
+}
+
+std::int64_t EntryStore::revision() const
+{
+    return this->currentRevision;
+}
+
+const Entry *EntryStore::find(std::string_view key) const
+{
+    const auto found = this->entries.find(key);
+    return found == this->entries.end() || found->second.deleted ? nullptr : &found->second;
+}
+
+void EntryStore::visit(std::string_view prefix,
+                       const std::function<void(std::string_view key, const Entry &entry)> &visit) const
+{
+    for (auto found = this->entries.lower_bound(prefix);
+         found != this->entries.end() && std::string_view(found->first).starts_with(prefix);
+         ++found) {
+        if (!found->second.deleted) {
+            visit(found->first, found->second);
+        }
+    }
+}
+
+std::size_t EntryStore::liveCount() const
+{
+    return this->entries.size() - this->tombstones;
+}
+
+std::size_t EntryStore::tombstoneCount() const
+{
+    return this->tombstones;
+}
+
+void EntryStore::set(const EntryChange &change)
+{
+    if (change.version <= 0) {
+        return;
+    }
+    Entry &entry = this->entries[change.key];
+    if (change.version <= entry.version) {
+        return;
+    }
+    this->tombstones -= entry.deleted ? 1 : 0;
+    this->tombstones += change.deleted ? 1 : 0;
+    entry.version = change.version;
+    entry.deleted = change.deleted;
+    entry.value = change.deleted ? std::string() : change.value;
+}
+
+void EntryStore::pruneTombstones()
+{
+    if (this->tombstones <= this->maxTombstones) {
+        return;
+    }
+    std::vector<std::int64_t> versions;
+    for (const auto &[key, entry] : this->entries) {
+        if (entry.deleted) {
+            versions.push_back(entry.version);
+        }
+    }
+    // Half of the limit stays, so that pruning is rare.
+    const auto bound = versions.end() - static_cast<std::ptrdiff_t>(this->maxTombstones / 2) - 1;
+    std::nth_element(versions.begin(), bound, versions.end());
+    this->tombstoneFloor = std::max(this->tombstoneFloor, *bound);
+    this->tombstones -= std::erase_if(
+        this->entries, [bound](const auto &item) { return item.second.deleted && item.second.version <= *bound; });
+}
+
+}
