Add gossip membership

Cause: homes, allocators and the spread of revisions need a view of the live daemons whose cost does not grow with the fleet. Change: membership::GossipMember, SWIM with indirect pings, refutation, piggybacked updates (least-sent first, 1,200 bytes), revision and key-value state, and comparison of one bucket of entries every 2 s. Only a member with evidence of its own declares a death; others check for themselves after 2 s. Dead members and seeds are contacted once a second so that cuts heal.

--- /dev/null
+++ b/membership/gossipmember.cpp
@@ -0,0 +1,443 @@
+#include "membership/gossipmember.h"
+
+#include "core/hashing.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+
+namespace endiveshore::membership {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+// A tick this late means that the process was paused; silence in the meantime says nothing about others.
+constexpr core::Duration PauseLimit = 500ms;
+// Between pings of a suspect. One suspect at a time, so that the cost stays bounded when many are suspected.
+constexpr core::Duration SuspectPingInterval = 150ms;
+constexpr unsigned RequiredPingsAfterRefusal = 1;
+// Answers later than this are ignored.
+constexpr core::Duration ProbeLifetime = 2s;
+// Between contacts of one dead member or seed; heals the membership after a cut.
+constexpr core::Duration ContactInterval = 1s;
+// An update is sent this many times the logarithm of the number of members.
+constexpr unsigned TransmissionFactor = 3;
+// Without any datagram for this long a member regards itself as isolated.
+constexpr core::Duration ContactWindow = 1s;
+// Of the latest 6 pings (1.8 s), 5 in vain mean that most members are out of reach.
+constexpr std::size_t RecordedProbes = 6;
+constexpr std::ptrdiff_t MaxFailedProbes = 4;
+
+}
+
+GossipMember::GossipMember(GossipOptions options)
+    : options(std::move(options))
+    , ownHash(core::stableHash(this->options.id))
+    , random(this->options.seed)
+{
+    this->own.id = this->options.id;
+    this->own.address = this->options.address;
+    this->own.dataCentre = this->options.dataCentre;
+    this->own.region = this->options.region;
+    this->own.incarnation = this->options.incarnation;
+    this->setSeeds(this->options.seeds);
+    this->updates.add(UpdateKind::Member, this->own.id);
+}
+
+GossipOutput GossipMember::takeOutput()
+{
+    GossipOutput result = std::move(this->output);
+    this->output = {};
+    return result;
+}
+
+GossipOutput GossipMember::tick(core::TimePoint now)
+{
+    if (this->lastTick == core::TimePoint()) {
+        this->catchUp.started = now;
+        this->catchUp.done = this->options.seeds.empty();
+    } else if (now - this->lastTick > PauseLimit) {
+        this->resumeAfterPause(now);
+    }
+    this->lastTick = now;
+    if (this->silent) {
+        return this->takeOutput();
+    }
+    this->checkProbes(now);
+    this->checkSuspects(now);
+    if (now >= this->nextPing) {
+        this->nextPing = std::max(this->nextPing + this->options.pingInterval, now + this->options.pingInterval / 2);
+        this->pingNext(now);
+    }
+    if (now >= this->nextContact) {
+        this->contactLost(now);
+    }
+    this->synchronise(now);
+    this->forget(now);
+    return this->takeOutput();
+}
+
+void GossipMember::resumeAfterPause(core::TimePoint now)
+{
+    const core::Duration gap = now - this->lastTick;
+    this->probes.clear();
+    this->probeResults.clear();
+    for (const std::string &id : this->suspects) {
+        this->known.at(id).deadline += gap;
+    }
+}
+
+void GossipMember::checkProbes(core::TimePoint now)
+{
+    std::vector<std::string> failed;
+    for (auto entry = this->probes.begin(); entry != this->probes.end();) {
+        Probe &probe = entry->second;
+        const core::Duration age = now - probe.sent;
+        const auto target = this->known.find(probe.target);
+        const bool checked = probe.kind == ProbeKind::Regular || probe.kind == ProbeKind::Suspect;
+        if (checked && target != this->known.end()) {
+            if (!probe.indirect && age >= this->options.ackTimeout) {
+                probe.indirect = true;
+                this->askOthers(entry->first, target->second.member);
+            }
+            if (age >= this->options.pingInterval) {
+                if (probe.kind == ProbeKind::Regular) {
+                    this->recordProbe(false);
+                    failed.push_back(probe.target);
+                } else {
+                    ++target->second.unanswered;
+                }
+                entry = this->probes.erase(entry);
+                continue;
+            }
+        }
+        entry = age >= ProbeLifetime ? this->probes.erase(entry) : std::next(entry);
+    }
+    for (const std::string &id : failed) {
+        this->suspectByEvidence(now, this->known.at(id));
+    }
+}
+
+void GossipMember::suspectByEvidence(core::TimePoint now, Known &known)
+{
+    if (known.member.state == MemberState::Dead || known.member.state == MemberState::Left || known.ownEvidence) {
+        return;
+    }
+    if (known.member.state == MemberState::Alive) {
+        this->changeState(now, known, MemberState::Suspect);
+    }
+    known.ownEvidence = true;
+    known.deadline = now + this->options.suspicion;
+    known.nextPing = now;
+}
+
+GossipOutput GossipMember::reportRefused(std::string_view memberId, core::TimePoint now)
+{
+    const auto found = this->known.find(memberId);
+    if (found != this->known.end() && !this->silent) {
+        Known &target = found->second;
+        this->suspectByEvidence(now, target);
+        if (target.member.state == MemberState::Suspect) {
+            target.deadline = std::min(target.deadline, now + this->options.refusedSuspicion);
+            target.requiredPings = RequiredPingsAfterRefusal;
+            this->probe(now, ProbeKind::Suspect, target.member.id, target.member.address);
+        }
+    }
+    return this->takeOutput();
+}
+
+void GossipMember::checkSuspects(core::TimePoint now)
+{
+    std::vector<std::string> dead;
+    Known *next = nullptr;
+    for (const std::string &id : this->suspects) {
+        Known &suspect = this->known.at(id);
+        if (!suspect.ownEvidence) {
+            // The originator of the suspicion declares the death; this member checks for itself only if it does not.
+            if (now >= suspect.deadline) {
+                this->suspectByEvidence(now, suspect);
+            }
+        } else if (now >= suspect.deadline && suspect.unanswered >= suspect.requiredPings) {
+            dead.push_back(id);
+            continue;
+        }
+        if (suspect.ownEvidence && now >= suspect.nextPing && (next == nullptr || suspect.nextPing < next->nextPing)) {
+            next = &suspect;
+        }
+    }
+    if (next != nullptr && now >= this->nextSuspectPing) {
+        this->nextSuspectPing = now + SuspectPingInterval;
+        next->nextPing = now + SuspectPingInterval;
+        this->probe(now, ProbeKind::Suspect, next->member.id, next->member.address);
+    }
+    for (const std::string &id : dead) {
+        this->changeState(now, this->known.at(id), MemberState::Dead);
+    }
+}
+
+void GossipMember::pingNext(core::TimePoint now)
+{
+    if (this->probeOrder.empty()) {
+        return;
+    }
+    if (this->probePosition >= this->probeOrder.size()) {
+        std::shuffle(this->probeOrder.begin(), this->probeOrder.end(), this->random);
+        this->probePosition = 0;
+    }
+    const Member &target = this->known.at(this->probeOrder[this->probePosition++]).member;
+    this->probe(now, ProbeKind::Regular, target.id, target.address);
+}
+
+void GossipMember::contactLost(core::TimePoint now)
+{
+    this->nextContact = now + (this->catchUp.done ? ContactInterval : this->options.pingInterval);
+    std::vector<std::pair<std::string, std::string>> candidates;
+    std::set<std::string_view> liveAddresses;
+    for (const auto &[id, entry] : this->known) {
+        if (entry.member.state == MemberState::Dead) {
+            candidates.emplace_back(id, entry.member.address);
+        } else if (entry.member.state != MemberState::Left) {
+            liveAddresses.insert(entry.member.address);
+        }
+    }
+    for (const std::string &seed : this->options.seeds) {
+        if (!liveAddresses.contains(seed)) {
+            candidates.emplace_back(std::string(), seed);
+        }
+    }
+    if (candidates.empty()) {
+        return;
+    }
+    const auto &[id, address] = candidates[this->random() % candidates.size()];
+    this->probe(now, ProbeKind::Contact, id, address);
+}
+
+void GossipMember::probe(core::TimePoint now, ProbeKind kind, const std::string &target, const std::string &address)
+{
+    const std::uint64_t sequence = this->nextSequence++;
+    this->probes.emplace(sequence, Probe{kind, target, now});
+    this->send(address, this->header(GossipType::Ping, sequence), target);
+}
+
+void GossipMember::askOthers(std::uint64_t sequence, const Member &target)
+{
+    GossipHeader request = this->header(GossipType::PingRequest, sequence);
+    request.target = target.id;
+    request.targetAddress = target.address;
+    std::set<std::string> asked;
+    for (std::size_t attempt = 0; attempt < this->options.indirect * 3 && asked.size() < this->options.indirect;
+         ++attempt) {
+        const Known *helper = this->randomAlive(target.id);
+        if (helper != nullptr && asked.insert(helper->member.id).second) {
+            this->send(helper->member.address, request, helper->member.id);
+        }
+    }
+}
+
+const GossipMember::Known *GossipMember::randomAlive(std::string_view except)
+{
+    // A few random picks find a live member unless most are suspect; no answer is then as good.
+    constexpr int Picks = 8;
+    for (int pick = 0; pick < Picks && !this->probeOrder.empty(); ++pick) {
+        const std::string &id = this->probeOrder[this->random() % this->probeOrder.size()];
+        const Known &candidate = this->known.at(id);
+        if (id != except && candidate.member.state == MemberState::Alive) {
+            return &candidate;
+        }
+    }
+    return nullptr;
+}
+
+GossipOutput GossipMember::receive(core::TimePoint now, std::string_view fromAddress, std::string_view text)
+{
+    if (this->silent) {
+        return {};
+    }
+    boost::leaf::result<GossipMessage> parsed = parseGossip(text);
+    if (!parsed || parsed->header.sender == this->own.id) {
+        return {};
+    }
+    const GossipMessage &message = *parsed;
+    this->lastHeard = now;
+    for (const Member &entry : message.members) {
+        this->mergeMember(now, entry);
+    }
+    for (const auto &[key, value] : message.states) {
+        if (this->mergeState(key, value)) {
+            this->output.stateRises.push_back({key, value});
+        }
+    }
+    const auto sender = this->known.find(message.header.sender);
+    if (sender != this->known.end()) {
+        this->raiseRevision(sender->second.member, message.header.revision);
+    }
+    if (!this->silent) {
+        this->answer(message.header, fromAddress, now);
+    }
+    return this->takeOutput();
+}
+
+void GossipMember::answer(const GossipHeader &header, std::string_view fromAddress, core::TimePoint now)
+{
+    const std::string address(fromAddress);
+    if (header.wantsEntry) {
+        this->sendOwnEntry(address);
+    }
+    switch (header.type) {
+    case GossipType::Ping: {
+        GossipHeader ack = this->header(GossipType::Ack, header.sequence);
+        ack.wantsEntry = !this->known.contains(header.sender);
+        this->send(address, ack, header.sender);
+        break;
+    }
+    case GossipType::PingRequest: {
+        const std::uint64_t sequence = this->nextSequence++;
+        this->probes.emplace(sequence, Probe{ProbeKind::Relay, header.target, now, true, address, header.sequence});
+        this->send(header.targetAddress, this->header(GossipType::Ping, sequence), header.target);
+        break;
+    }
+    case GossipType::Ack:
+    case GossipType::IndirectAck:
+        this->finishProbe(header.sequence, header, fromAddress);
+        break;
+    case GossipType::Sync:
+        this->receiveDigest(header, fromAddress);
+        break;
+    case GossipType::State:
+        this->receiveState(header);
+        break;
+    case GossipType::Notice:
+        break;
+    }
+}
+
+void GossipMember::finishProbe(std::uint64_t sequence, const GossipHeader &header, std::string_view fromAddress)
+{
+    const auto found = this->probes.find(sequence);
+    if (found == this->probes.end()) {
+        return;
+    }
+    const Probe probe = found->second;
+    const std::string &answering = header.type == GossipType::Ack ? header.sender : header.target;
+    if (!probe.target.empty() && probe.target != answering) {
+        return;
+    }
+    this->probes.erase(found);
+    if (probe.kind == ProbeKind::Relay) {
+        GossipHeader indirect = this->header(GossipType::IndirectAck, probe.originSequence);
+        indirect.target = probe.target;
+        this->send(probe.originAddress, indirect, {});
+        return;
+    }
+    this->confirmed = std::max(this->confirmed, probe.sent);
+    if (probe.kind == ProbeKind::Regular) {
+        this->recordProbe(true);
+    }
+    if (const auto target = this->known.find(probe.target); target != this->known.end()) {
+        target->second.unanswered = 0;
+    }
+    if (probe.target.empty() && !this->catchUp.done && this->catchUp.sequence == 0) {
+        // The seed is alive; the comparison of entries starts with it.
+        this->catchUp.sequence = this->nextSequence++;
+        this->catchUp.sent = probe.sent;
+        this->sendDigest(std::string(fromAddress), 0, this->catchUp.count, this->catchUp.sequence);
+    }
+}
+
+void GossipMember::recordProbe(bool answered)
+{
+    this->probeResults.push_back(answered);
+    if (this->probeResults.size() > RecordedProbes) {
+        this->probeResults.pop_front();
+    }
+}
+
+GossipHeader GossipMember::header(GossipType type, std::uint64_t sequence) const
+{
+    return {.type = type, .sender = this->own.id, .sequence = sequence, .revision = this->own.configRevision};
+}
+
+void GossipMember::send(const std::string &address, const GossipHeader &header, std::string_view receiverId)
+{
+    GossipWriter writer(header, this->options.maxDatagramBytes);
+    const auto receiver = this->known.find(receiverId);
+    // A member that is held suspect or dead has to learn it to refute it.
+    if (receiver != this->known.end() && receiver->second.member.state != MemberState::Alive) {
+        writer.addMember(receiver->second.member);
+    }
+    this->updates.drain(this->maxSent(), [this, &writer](UpdateKind kind, const std::string &key) {
+        if (kind == UpdateKind::State) {
+            return writer.addState(key, this->stateValues.at(key));
+        }
+        if (key == this->own.id) {
+            return writer.addMember(this->own);
+        }
+        const auto entry = this->known.find(key);
+        return entry == this->known.end() || writer.addMember(entry->second.member);
+    });
+    this->output.datagrams.push_back({address, writer.finish()});
+}
+
+unsigned GossipMember::maxSent() const
+{
+    return TransmissionFactor * static_cast<unsigned>(std::bit_width(this->known.size() + 1));
+}
+
+GossipOutput GossipMember::leave(core::TimePoint now)
+{
+    if (this->silent) {
+        return {};
+    }
+    this->lastTick = now;
+    this->own.state = MemberState::Left;
+    this->updates.add(UpdateKind::Member, this->own.id);
+    // Enough members that the news survives the loss of some datagrams.
+    std::vector<std::string> order = this->probeOrder;
+    std::shuffle(order.begin(), order.end(), this->random);
+    order.resize(std::min<std::size_t>(order.size(), this->maxSent()));
+    for (const std::string &id : order) {
+        GossipWriter writer(this->header(GossipType::State, 0), this->options.maxDatagramBytes);
+        writer.addMember(this->own);
+        this->output.datagrams.push_back({this->known.at(id).member.address, writer.finish()});
+    }
+    this->silent = true;
+    return this->takeOutput();
+}
+
+GossipOutput GossipMember::noticeDataCentre()
+{
+    for (const std::string &id : this->probeOrder) {
+        const Member &member = this->known.at(id).member;
+        if (member.dataCentre == this->own.dataCentre && !this->silent) {
+            GossipWriter writer(this->header(GossipType::Notice, 0), this->options.maxDatagramBytes);
+            this->output.datagrams.push_back({member.address, writer.finish()});
+        }
+    }
+    return this->takeOutput();
+}
+
+bool GossipMember::hasJoined() const
+{
+    return this->catchUp.done;
+}
+
+core::TimePoint GossipMember::lastConfirmation() const
+{
+    return this->confirmed;
+}
+
+bool GossipMember::seesMajority(core::TimePoint now) const
+{
+    this->countMembers(now);
+    if (this->knownCount == 1) {
+        return !this->silent;
+    }
+    if (this->silent || now - this->lastHeard > ContactWindow) {
+        return false;
+    }
+    const std::ptrdiff_t failed = std::count(this->probeResults.begin(), this->probeResults.end(), false);
+    return failed <= MaxFailedProbes && this->aliveCount * 2 > this->knownCount;
+}
+
+}
--- /dev/null
+++ b/tests/membership/gossipworld.h
@@ -0,0 +1,242 @@
+#pragma once
+
+#include "membership/gossipmember.h"
+
+#include <functional>
+#include <memory>
+#include <queue>
+
+namespace endiveshore::membership {
+
+/// Members in memory on a fake clock, with seeded loss, cuts, pauses and restarts.
+class GossipWorld
+{
+public:
+    using Cut = std::function<bool(const std::string &from, const std::string &to)>;
+
+    struct Node
+    {
+        std::unique_ptr<GossipMember> member;
+        bool running = true; ///< False: the process is dead.
+        bool paused = false;
+        std::vector<Datagram> waiting; ///< Received while paused, with the sender's address.
+        std::vector<MemberEvent> events;
+        std::vector<RevisionRise> revisionRises;
+        std::vector<StateRise> stateRises;
+        std::uint64_t bytesOut = 0;
+        std::uint64_t bytesIn = 0;
+    };
+
+    explicit GossipWorld(std::uint64_t seed)
+        : random(seed)
+    {
+    }
+
+    static std::string idOf(std::size_t index)
+    {
+        return "vm-" + std::to_string(1000 + index);
+    }
+
+    static std::string addressOf(std::size_t index)
+    {
+        return "10.0." + std::to_string(index / 200) + "." + std::to_string(1 + index % 200) + ":7000";
+    }
+
+    /// Starts member @p index, or restarts it with a higher incarnation.
+    Node &start(std::size_t index)
+    {
+        static constexpr std::string_view DataCentres[]{"oviedo", "gijon", "santander"};
+        GossipOptions options{.id = idOf(index),
+                              .address = addressOf(index),
+                              .dataCentre = std::string(DataCentres[index % 3]),
+                              .region = index % 3 == 2 ? "cantabria" : "asturias",
+                              .incarnation
+                              = static_cast<std::uint64_t>(core::toMilliseconds(this->now.time_since_epoch())),
+                              .seed = this->random()};
+        for (std::size_t seed = 0; seed < this->seeds; ++seed) {
+            options.seeds.push_back(addressOf(seed));
+        }
+        Node &node = this->nodes[addressOf(index)];
+        node = Node();
+        node.member = std::make_unique<GossipMember>(options);
+        return node;
+    }
+
+    void startAll(std::size_t count)
+    {
+        for (std::size_t index = 0; index < count; ++index) {
+            this->start(index);
+        }
+    }
+
+    Node &node(std::size_t index)
+    {
+        return this->nodes.at(addressOf(index));
+    }
+
+    GossipMember &member(std::size_t index)
+    {
+        return *this->node(index).member;
+    }
+
+    void pause(std::size_t index)
+    {
+        this->node(index).paused = true;
+    }
+
+    void resume(std::size_t index)
+    {
+        Node &node = this->node(index);
+        node.paused = false;
+        std::vector<Datagram> waiting;
+        waiting.swap(node.waiting);
+        for (const Datagram &datagram : waiting) {
+            this->handle(addressOf(index), node, node.member->receive(this->now, datagram.address, datagram.payload));
+        }
+    }
+
+    void handle(const std::string &address, Node &node, GossipOutput output)
+    {
+        for (Datagram &datagram : output.datagrams) {
+            node.bytesOut += datagram.payload.size();
+            this->largest = std::max(this->largest, datagram.payload.size());
+            ++this->datagramsSent;
+            const bool lost = std::uniform_real_distribution<>(0, 1)(this->random) < this->loss;
+            if (lost || (this->cut && this->cut(address, datagram.address))) {
+                continue;
+            }
+            const core::Duration delay = std::chrono::microseconds(200 + this->random() % 800) + this->extraDelay;
+            this->flying.push({this->now + delay, this->nextOrder++, address, std::move(datagram)});
+        }
+        append(node.events, output.events);
+        append(node.revisionRises, output.revisionRises);
+        append(node.stateRises, output.stateRises);
+    }
+
+    /// Runs for @p duration or until @p done; returns true if @p done became true.
+    bool run(core::Duration duration, const std::function<bool()> &done = {})
+    {
+        constexpr core::Duration Step = std::chrono::milliseconds(10);
+        constexpr int StepsPerTick = 5;
+        const core::TimePoint end = this->now + duration;
+        while (this->now < end) {
+            if (done && done()) {
+                return true;
+            }
+            this->now += Step;
+            this->deliver();
+            std::size_t offset = 0;
+            ++this->steps;
+            for (auto &[address, node] : this->nodes) {
+                if (node.running && !node.paused && (this->steps + offset++) % StepsPerTick == 0) {
+                    this->handle(address, node, node.member->tick(this->now));
+                }
+            }
+        }
+        return done && done();
+    }
+
+    /// True if every running member holds exactly the running members alive.
+    bool hasConverged()
+    {
+        std::size_t running = 0;
+        for (const auto &[address, node] : this->nodes) {
+            running += node.running ? 1 : 0;
+        }
+        for (const auto &[address, node] : this->nodes) {
+            if (!node.running) {
+                continue;
+            }
+            std::size_t alive = 0;
+            for (const Member &member : node.member->members()) {
+                const bool isRunning = this->nodes.at(member.address).running;
+                if (isRunning != (member.state == MemberState::Alive)) {
+                    return false;
+                }
+                alive += isRunning ? 1 : 0;
+            }
+            if (alive != running) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /// State of member @p of in the eyes of member @p by.
+    MemberState stateOf(std::size_t of, std::size_t by)
+    {
+        for (const Member &member : this->member(by).members()) {
+            if (member.id == idOf(of)) {
+                return member.state;
+            }
+        }
+        return MemberState::Left;
+    }
+
+    std::size_t countEvents(MemberEventKind kind)
+    {
+        std::size_t count = 0;
+        for (const auto &[address, node] : this->nodes) {
+            count += static_cast<std::size_t>(
+                std::count_if(node.events.begin(), node.events.end(), [kind](const MemberEvent &event) {
+                    return event.kind == kind;
+                }));
+        }
+        return count;
+    }
+
+    core::TimePoint now{std::chrono::seconds(1'000)};
+    double loss = 0;
+    core::Duration extraDelay{0};
+    Cut cut;
+    std::size_t seeds = 3;
+    std::size_t largest = 0;
+    std::uint64_t datagramsSent = 0;
+    std::map<std::string, Node> nodes;
+
+private:
+    struct Flying
+    {
+        core::TimePoint arrival;
+        std::uint64_t order = 0;
+        std::string from;
+        Datagram datagram;
+
+        bool operator>(const Flying &other) const
+        {
+            return std::tie(this->arrival, this->order) > std::tie(other.arrival, other.order);
+        }
+    };
+
+    template<typename T>
+    static void append(std::vector<T> &list, const std::vector<T> &added)
+    {
+        list.insert(list.end(), added.begin(), added.end());
+    }
+
+    void deliver()
+    {
+        while (!this->flying.empty() && this->flying.top().arrival <= this->now) {
+            const Flying flight = this->flying.top();
+            this->flying.pop();
+            const auto found = this->nodes.find(flight.datagram.address);
+            if (found == this->nodes.end() || !found->second.running) {
+                continue;
+            }
+            Node &node = found->second;
+            node.bytesIn += flight.datagram.payload.size();
+            if (node.paused) {
+                node.waiting.push_back({flight.from, flight.datagram.payload});
+                continue;
+            }
+            this->handle(found->first, node, node.member->receive(this->now, flight.from, flight.datagram.payload));
+        }
+    }
+
+    std::mt19937_64 random;
+    std::priority_queue<Flying, std::vector<Flying>, std::greater<>> flying;
+    std::uint64_t nextOrder = 0;
+    std::size_t steps = 0;
+};
+
+}
--- /dev/null
+++ b/tests/membership/test_gossip.cpp
@@ -0,0 +1,318 @@
+#include "gossipworld.h"
+
+#include <gtest/gtest.h>
+
+#include <ctime>
+#include <iostream>
+
+namespace endiveshore::membership {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t Seeds[]{1, 2, 3};
+
+double seconds(core::Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+double processSeconds()
+{
+    timespec time{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) / 1e9;
+}
+
+void startConverged(GossipWorld &world, std::size_t count)
+{
+    world.startAll(count);
+    ASSERT_TRUE(world.run(30s, [&] { return world.hasConverged(); }));
+}
+
+bool allHold(GossipWorld &world, std::size_t of, MemberState state)
+{
+    for (std::size_t index = 0; index < world.nodes.size(); ++index) {
+        if (index != of && world.node(index).running && world.stateOf(of, index) != state) {
+            return false;
+        }
+    }
+    return true;
+}
+
+}
+
+// Guards against members that never learn of each other through a few seeds.
+TEST(GossipMember, JoinsThroughSeedsAndConverges)
+{
+    for (const std::size_t count : {7, 100}) {
+        GossipWorld world(1);
+        const core::TimePoint start = world.now;
+        startConverged(world, count);
+        std::cout << "join members=" << count << " converged_s=" << seconds(world.now - start) << "\n";
+        world.run(2s);
+        EXPECT_TRUE(world.member(count - 1).hasJoined());
+        EXPECT_TRUE(world.member(count - 1).seesMajority(world.now));
+        EXPECT_LE(world.largest, 1'200U);
+        const core::TimePoint late = world.now;
+        world.start(count);
+        ASSERT_TRUE(world.run(20s, [&] { return world.hasConverged(); }));
+        std::cout << "late_join members=" << count << " converged_s=" << seconds(world.now - late) << "\n";
+        EXPECT_EQ(world.countEvents(MemberEventKind::Dead), 0U);
+    }
+}
+
+// Guards against a death that is noticed too late for the failover bound of 6 s, also with 100 members.
+TEST(GossipMember, DetectsADeathWithinThreeSeconds)
+{
+    for (const std::size_t count : {7, 28, 100}) {
+        for (const std::uint64_t seed : Seeds) {
+            GossipWorld world(seed);
+            startConverged(world, count);
+            world.run(3s);
+            world.node(4).running = false;
+            const core::TimePoint start = world.now;
+            ASSERT_TRUE(world.run(20s, [&] { return world.stateOf(4, 1) == MemberState::Dead; }));
+            const double first = seconds(world.now - start);
+            ASSERT_TRUE(world.run(20s, [&] { return allHold(world, 4, MemberState::Dead); }));
+            const double all = seconds(world.now - start);
+            std::cout << "death members=" << count << " seed=" << seed << " one_s=" << first << " all_s=" << all
+                      << "\n";
+            EXPECT_LE(all, 4.0);
+            EXPECT_EQ(world.countEvents(MemberEventKind::Dead), count - 1);
+        }
+    }
+}
+
+// Guards against a refused connection that does not shorten the detection.
+TEST(GossipMember, RefusedConnectionShortensTheSuspicion)
+{
+    GossipWorld world(1);
+    startConverged(world, 7);
+    world.node(4).running = false;
+    const core::TimePoint start = world.now;
+    auto &reporter = world.node(0);
+    world.handle(GossipWorld::addressOf(0), reporter, reporter.member->reportRefused(GossipWorld::idOf(4), world.now));
+    ASSERT_TRUE(world.run(10s, [&] { return world.stateOf(4, 0) == MemberState::Dead; }));
+    EXPECT_LE(seconds(world.now - start), 0.5);
+    // A wrong report is refuted: the member still answers pings.
+    world.handle(GossipWorld::addressOf(0), reporter, reporter.member->reportRefused(GossipWorld::idOf(5), world.now));
+    world.run(2s);
+    EXPECT_EQ(world.stateOf(5, 0), MemberState::Alive);
+}
+
+// Guards against live members declared dead because of lost datagrams.
+TEST(GossipMember, NoFalseDeathUnderTenPercentLoss)
+{
+    for (const std::size_t count : {7, 28, 100}) {
+        GossipWorld world(5);
+        startConverged(world, count);
+        world.loss = 0.1;
+        world.run(count == 100 ? 60s : 300s);
+        std::cout << "loss members=" << count << " suspicions=" << world.countEvents(MemberEventKind::Suspect)
+                  << " deaths=" << world.countEvents(MemberEventKind::Dead) << "\n";
+        EXPECT_EQ(world.countEvents(MemberEventKind::Dead), 0U);
+        world.loss = 0;
+        EXPECT_TRUE(world.run(10s, [&] { return world.hasConverged(); }));
+    }
+}
+
+// Guards against a paused member that stays dead in the eyes of others, or that declares others dead on resuming.
+TEST(GossipMember, PausedMemberRefutesItsDeath)
+{
+    for (const std::uint64_t seed : Seeds) {
+        GossipWorld world(seed);
+        startConverged(world, 7);
+        world.pause(3);
+        ASSERT_TRUE(world.run(10s, [&] { return allHold(world, 3, MemberState::Dead); }));
+        world.run(2s);
+        EXPECT_FALSE(world.member(3).seesMajority(world.now));
+        world.resume(3);
+        const core::TimePoint start = world.now;
+        ASSERT_TRUE(world.run(10s, [&] { return world.hasConverged(); }));
+        EXPECT_LE(seconds(world.now - start), 3.0);
+        EXPECT_GT(world.member(3).self().refutation, 0U);
+        EXPECT_EQ(world.countEvents(MemberEventKind::Dead), 6U);
+        EXPECT_EQ(world.countEvents(MemberEventKind::AliveAgain), 6U);
+    }
+}
+
+// Guards against a restarted daemon that is taken for its predecessor, at the same or another address.
+TEST(GossipMember, RestartedMemberReplacesTheOldOne)
+{
+    GossipWorld world(1);
+    startConverged(world, 7);
+    world.run(1s);
+    world.start(3);
+    ASSERT_TRUE(world.run(5s, [&] { return world.countEvents(MemberEventKind::Restarted) == 6; }));
+    EXPECT_TRUE(world.run(5s, [&] { return world.hasConverged(); }));
+    EXPECT_EQ(world.countEvents(MemberEventKind::Dead), 0U);
+
+    GossipOptions options{.id = "a", .address = "10.0.0.1:1", .incarnation = 5};
+    GossipMember old(options);
+    GossipWriter writer(GossipHeader{.type = GossipType::State, .sender = "b"}, 1'200);
+    writer.addMember(Member{.id = "a", .address = "10.0.0.2:1", .incarnation = 6});
+    const GossipOutput output = old.receive(world.now, "10.0.0.3:1", writer.finish());
+    ASSERT_EQ(output.events.size(), 1U);
+    EXPECT_EQ(output.events[0].kind, MemberEventKind::Superseded);
+    EXPECT_TRUE(old.tick(world.now).datagrams.empty());
+}
+
+// Guards against a planned stop that is handled like a death.
+TEST(GossipMember, LeavingIsKnownAtOnceAndIsNotADeath)
+{
+    GossipWorld world(1);
+    startConverged(world, 28);
+    world.handle(GossipWorld::addressOf(6), world.node(6), world.member(6).leave(world.now));
+    world.node(6).running = false;
+    const core::TimePoint start = world.now;
+    ASSERT_TRUE(world.run(5s, [&] { return allHold(world, 6, MemberState::Left); }));
+    EXPECT_LE(seconds(world.now - start), 1.5);
+    world.run(5s);
+    EXPECT_EQ(world.countEvents(MemberEventKind::Dead), 0U);
+}
+
+// Guards against a minority that believes it is the majority, and against a cut that never heals.
+TEST(GossipMember, CutMinorityLosesTheMajorityAndHeals)
+{
+    for (const std::size_t count : {7, 100}) {
+        GossipWorld world(2);
+        startConverged(world, count);
+        world.run(3s);
+        world.cut = [](const std::string &from, const std::string &to) {
+            const std::string isolated = GossipWorld::addressOf(2);
+            return from == isolated || to == isolated;
+        };
+        world.run(2s);
+        EXPECT_FALSE(world.member(2).seesMajority(world.now));
+        EXPECT_TRUE(world.member(0).seesMajority(world.now));
+        // The last third is cut off from the others for two minutes.
+        world.cut = [count](const std::string &from, const std::string &to) {
+            const std::string border = GossipWorld::addressOf(count - count / 3);
+            auto isMinority = [&](const std::string &address) {
+                return address.size() > border.size() || (address.size() == border.size() && address >= border);
+            };
+            return isMinority(from) != isMinority(to);
+        };
+        world.run(6s);
+        EXPECT_FALSE(world.member(count - 1).seesMajority(world.now));
+        EXPECT_TRUE(world.member(0).seesMajority(world.now));
+        world.run(120s);
+        EXPECT_TRUE(world.member(0).seesMajority(world.now));
+        world.cut = {};
+        const core::TimePoint start = world.now;
+        EXPECT_TRUE(world.run(60s, [&] { return world.hasConverged(); }));
+        std::cout << "heal members=" << count << " s=" << seconds(world.now - start) << "\n";
+    }
+}
+
+// Guards against revisions and terms that do not reach everybody within the bound of 3 s, also under loss.
+TEST(GossipMember, RevisionsAndStateReachAllMembers)
+{
+    for (const std::size_t count : {7, 28, 100}) {
+        GossipWorld world(3);
+        startConverged(world, count);
+        world.loss = 0.1;
+        world.member(1).setState("rota", {7, "server-2", 7});
+        EXPECT_FALSE(world.member(1).setState("rota", {6, "server-1", 6}));
+        const core::TimePoint start = world.now;
+        ASSERT_TRUE(world.run(10s, [&] {
+            return std::all_of(world.nodes.begin(), world.nodes.end(), [](const auto &entry) {
+                return entry.second.member->states().contains("rota");
+            });
+        }));
+        const double state = seconds(world.now - start);
+        EXPECT_EQ(world.node(0).stateRises.at(0).value.number, 7);
+        // Each member that sees a higher revision pulls it and announces it, as the daemon does.
+        world.member(1).setConfigRevision(9);
+        const core::TimePoint revisionStart = world.now;
+        ASSERT_TRUE(world.run(10s, [&] {
+            bool all = true;
+            for (auto &[address, node] : world.nodes) {
+                for (const RevisionRise &rise : node.revisionRises) {
+                    node.member->setConfigRevision(rise.revision);
+                }
+                all = all && node.member->self().configRevision == 9;
+            }
+            return all;
+        }));
+        const double revision = seconds(world.now - revisionStart);
+        std::cout << "spread members=" << count << " state_s=" << state << " state_rounds=" << state / 0.3
+                  << " revision_s=" << revision << " revision_rounds=" << revision / 0.3 << "\n";
+        EXPECT_LE(state, 3.0);
+        EXPECT_LE(revision, 3.0);
+    }
+}
+
+// Guards against many keys that never reach a member whose updates were lost.
+TEST(GossipMember, ComparisonRepairsLostState)
+{
+    GossipWorld world(4);
+    startConverged(world, 7);
+    world.loss = 1;
+    for (int number = 0; number < 200; ++number) {
+        world.member(0).setState("database-" + std::to_string(number), {1, "server", 1});
+    }
+    world.run(400ms);
+    world.loss = 0;
+    EXPECT_TRUE(world.run(120s, [&] {
+        return std::all_of(world.nodes.begin(), world.nodes.end(), [](const auto &entry) {
+            return entry.second.member->states().size() == 200;
+        });
+    }));
+    world.start(7);
+    EXPECT_TRUE(world.run(10s, [&] { return world.member(7).hasJoined() && world.member(7).states().size() == 200; }));
+}
+
+// Guards against malformed datagrams that end the process or change the membership.
+TEST(GossipMember, IgnoresMalformedDatagrams)
+{
+    GossipWorld world(1);
+    GossipMember &member = *world.start(0).member;
+    for (const std::string_view text : {"",
+                                        "{",
+                                        "[]",
+                                        R"({"t":"ping"})",
+                                        R"({"t":"nonsense","f":"b"})",
+                                        R"({"t":"ping","f":"b","m":[["x"]]})",
+                                        R"({"t":"ping","f":"b","m":[["x","y","z","r",9,1,0,0]]})"}) {
+        const GossipOutput output = member.receive(world.now, "10.0.0.9:1", text);
+        EXPECT_TRUE(output.datagrams.empty()) << text;
+        EXPECT_TRUE(output.events.empty()) << text;
+    }
+    const std::string zeroBuckets = R"({"t":"sync","f":"b","s":1,"d":[0,0,1,0]})";
+    EXPECT_FALSE(member.receive(world.now, "10.0.0.9:1", zeroBuckets).datagrams.empty());
+}
+
+// Guards against a cost per member that grows with the fleet. The bound leaves most of the 9 KB/s for other control.
+TEST(GossipMember, CostPerMemberIsConstant)
+{
+    std::vector<double> rates;
+    for (const std::size_t count : {7, 28, 100}) {
+        GossipWorld world(1);
+        startConverged(world, count);
+        world.run(30s);
+        std::uint64_t before = 0;
+        for (const auto &[address, node] : world.nodes) {
+            before += node.bytesOut + node.bytesIn;
+        }
+        const std::uint64_t datagramsBefore = world.datagramsSent;
+        const double cpuBefore = processSeconds();
+        world.run(60s);
+        const double cpu = processSeconds() - cpuBefore;
+        std::uint64_t after = 0;
+        for (const auto &[address, node] : world.nodes) {
+            after += node.bytesOut + node.bytesIn;
+        }
+        const double perMember = 60.0 * static_cast<double>(count);
+        rates.push_back(static_cast<double>(after - before) / perMember);
+        std::cout << "cost members=" << count << " bytes_per_s=" << rates.back()
+                  << " datagrams_out_per_s=" << static_cast<double>(world.datagramsSent - datagramsBefore) / perMember
+                  << " cpu_us_per_s=" << cpu / perMember * 1e6 << "\n";
+        EXPECT_LE(rates.back(), 2'000.0);
+    }
+    EXPECT_LE(rates.back(), rates.front() * 1.2);
+}
+
+}
