--- a/queueing/fairqueue.h
+++ b/queueing/fairqueue.h
@@ -15,9 +15,9 @@
     FairScheduleOptions schedule;
     std::size_t maximumPerWorkspace = 512; ///< Longest queue of one workspace.
     unsigned maximumOvertakes = 8; ///< Items of urgent classes that may pass a waiting class of the same workspace.
-    /// An item is refused early if the estimated wait is this many times the time to its deadline. Refusals happen where
-    /// the estimate is high by chance: at 1.25 the workspace ran out of work after 1 of 1,321 simulated refusals, at 1.5
-    /// after none of 1,173.
+    /// An item is refused early if the estimated wait is this many times the time to its deadline. Refusals happen
+    /// where the estimate is high by chance: at 1.25 the workspace ran out of work after 1 of 1,321 simulated refusals,
+    /// at 1.5 after none of 1,173.
     double refusalMargin = 1.5;
 };
 
