--- a/daemon/fleetview.h
+++ b/daemon/fleetview.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -33,8 +34,8 @@
 {
     std::string member; ///< Daemon id.
     net::TcpEndpoint peerEndpoint;
-    bool own = false; ///< This daemon is the home and may send statements.
-    bool handover = false; ///< Another daemon was the home before and did not release the server.
+    bool own = false; ///< This daemon is the home.
+    std::optional<core::TimePoint> actsFrom; ///< From when this daemon may send statements, if it is the home.
 };
 
 /// Data needed to reach a backend server as its home.
--- a/daemon/homeregistry.cpp
+++ b/daemon/homeregistry.cpp
@@ -5,13 +5,13 @@
 namespace endiveshore::daemon {
 
 HomeRegistry::HomeRegistry(net::Executor executor,
-                           HomeRegistryOptions options,
+                           std::string memberId,
                            Ownership ownership,
                            HomeCheck homeCheck,
                            SlotQueue::WaitObserver observer,
                            DecisionSink sink)
     : executor(std::move(executor))
-    , options(std::move(options))
+    , memberId(std::move(memberId))
     , ownership(std::move(ownership))
     , homeCheck(std::move(homeCheck))
     , observer(std::move(observer))
@@ -31,7 +31,7 @@
     });
     std::erase_if(this->owned, [this](const auto &item) {
         const auto home = this->view->homes.find(item.first);
-        if (home != this->view->homes.end() && home->second.own && this->view->servers.contains(item.first)) {
+        if (home != this->view->homes.end() && home->second.own && home->second.actsFrom && this->view->servers.contains(item.first)) {
             return false;
         }
         this->sink(item.first,
@@ -41,7 +41,7 @@
         return true;
     });
     for (const auto &[key, home] : this->view->homes) {
-        if (!home.own || !this->ownership(key) || this->owned.contains(key)) {
+        if (!home.own || !home.actsFrom || !this->ownership(key) || this->owned.contains(key)) {
             continue;
         }
         const auto server = this->view->servers.find(key);
@@ -49,13 +49,12 @@
             continue;
         }
         ServerHomeOptions homeOptions;
-        homeOptions.memberId = this->options.memberId;
+        homeOptions.memberId = this->memberId;
         homeOptions.serverKey = key;
         homeOptions.server = server->second;
-        homeOptions.handoverWait = home.handover ? this->options.handoverWait : core::Duration::zero();
         const auto check = [this, key = key] { return this->isHome(key); };
         this->owned.emplace(key, std::make_shared<ServerHome>(this->executor, homeOptions, check, this->observer));
-        this->sink(key, "become_home", home.handover ? "taken over from another daemon" : "first home");
+        this->sink(key, "become_home", *home.actsFrom > core::Clock::now() ? "taken over from another daemon" : "assigned");
     }
     for (const auto &[key, home] : this->owned) {
         home->update(*this->view);
--- a/daemon/homeregistry.h
+++ b/daemon/homeregistry.h
@@ -9,12 +9,6 @@
 
 namespace endiveshore::daemon {
 
-struct HomeRegistryOptions
-{
-    std::string memberId;
-    core::Duration handoverWait{};
-};
-
 /// The server homes that one traffic thread owns. Follows the fleet view: creates a home when this daemon becomes the
 /// home of a server and closes it once another daemon has taken over and its work has ended.
 class HomeRegistry
@@ -31,7 +25,7 @@
         = std::function<void(const std::string &serverKey, std::string_view decision, std::string_view reason)>;
 
     HomeRegistry(net::Executor executor,
-                 HomeRegistryOptions options,
+                 std::string memberId,
                  Ownership ownership,
                  HomeCheck homeCheck,
                  SlotQueue::WaitObserver observer,
@@ -52,7 +46,7 @@
     bool isHome(const std::string &serverKey) const;
 
     net::Executor executor;
-    HomeRegistryOptions options;
+    std::string memberId;
     Ownership ownership;
     HomeCheck homeCheck;
     SlotQueue::WaitObserver observer;
--- /dev/null
+++ b/daemon/peerfrontend.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "daemon/trafficthread.h"
+#include "net/peerserver.h"
+
+#include <boost/json.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace endiveshore::daemon {
+
+/// Requests of other daemons. Statements and transactions run on the traffic threads; other paths are registered by
+/// the control services and run on the control thread.
+class PeerFrontend
+{
+public:
+    using ControlHandler = std::function<net::awaitable<boost::json::object>(boost::json::object request)>;
+
+    PeerFrontend(net::Executor control, TrafficPool &traffic);
+
+    /// Registers a handler of the control thread for POST @p path. Call before listen().
+    void addHandler(std::string path, ControlHandler handler);
+
+    /// Accepts peers on all traffic threads.
+    void listen(const net::TcpEndpoint &endpoint);
+    void stop();
+
+private:
+    net::awaitable<net::HttpResponse> handle(TrafficThread &thread, net::HttpRequest request);
+    net::awaitable<boost::json::object> dispatch(TrafficThread &thread, const net::HttpRequest &request);
+
+    net::Executor control;
+    TrafficPool &traffic;
+    std::map<std::string, ControlHandler, std::less<>> handlers;
+    std::vector<std::shared_ptr<net::PeerServer>> servers;
+};
+
+}
--- a/daemon/serverhome.cpp
+++ b/daemon/serverhome.cpp
@@ -141,7 +141,6 @@
     , pool(executor,
            this->options.server.endpoint,
            backend::ConnectionPoolOptions{.limit = poolLimit(this->options.server.connectionLimit)})
-    , usableFrom(core::Clock::now() + this->options.handoverWait)
 {
 }
 
@@ -151,6 +150,10 @@
     if (server == view.servers.end()) {
         return;
     }
+    const auto home = view.homes.find(this->options.serverKey);
+    if (home != view.homes.end() && home->second.actsFrom) {
+        this->usableFrom = *home->second.actsFrom;
+    }
     this->slotQueue.account().setLimit(static_cast<unsigned>(server->second.slots));
     this->options.server.leaving = server->second.leaving;
     this->otherServers.clear();
--- a/daemon/serverhome.h
+++ b/daemon/serverhome.h
@@ -20,7 +20,6 @@
     std::string memberId; ///< This daemon; prefix of transaction ids.
     std::string serverKey;
     ServerView server;
-    core::Duration handoverWait{}; ///< Time before the first statement after taking over from another daemon.
 };
 
 /// Queue, slots, connections and open transactions of one backend server, at the server's home daemon. Runs on one
--- a/daemon/statementcall.cpp
+++ b/daemon/statementcall.cpp
@@ -49,6 +49,7 @@
         {"min_term", call.required.term},
         {"min_position", call.required.position},
         {"timeout_ms", std::max<std::int64_t>(0, core::toMilliseconds(call.deadline - now))},
+        {"hops", call.hops},
         {"statement", call.statement},
     };
 }
@@ -67,6 +68,7 @@
     call.staleRead = core::jsonBool(message, "stale_read");
     call.required.term = static_cast<std::uint64_t>(core::jsonInteger(message, "min_term"));
     call.required.position = static_cast<std::uint64_t>(core::jsonInteger(message, "min_position"));
+    call.hops = static_cast<int>(core::jsonInteger(message, "hops"));
     call.deadline = now + core::Milliseconds(core::jsonInteger(message, "timeout_ms"));
     if (const json::value *statement = message.if_contains("statement")) {
         call.statement = *statement;
--- a/daemon/statementcall.h
+++ b/daemon/statementcall.h
@@ -27,6 +27,7 @@
     bool staleRead = false; ///< The route accepts data of a stated age.
     session::LogPosition required; ///< The server must have applied this; position 0 means no requirement.
     core::TimePoint deadline;
+    int hops = 0; ///< Daemons that passed the call on because another one was the home.
     boost::json::value statement;
 };
 
--- a/daemon/trafficthread.cpp
+++ b/daemon/trafficthread.cpp
@@ -18,7 +18,7 @@
     , options(options)
     , registry(
           this->context.get_executor(),
-          HomeRegistryOptions{.memberId = options.memberId, .handoverWait = options.handoverWait},
+          options.memberId,
           [this](const std::string &serverKey) { return &this->pool.owner(serverKey) == this; },
           hooks.homeCheck,
           hooks.queueWait,
@@ -84,6 +84,31 @@
     return this->registry;
 }
 
+net::awaitable<StatementAnswer> TrafficThread::executeForPeer(StatementCall call)
+{
+    const std::shared_ptr<const FleetView> current = this->view;
+    const auto home = current->homes.find(call.server);
+    const bool moved = home != current->homes.end() && home->second.member != this->options.memberId;
+    if (call.transaction.empty() && moved && call.hops == 0) {
+        // The sender has not yet seen that the home moved, for example during a planned stop of this daemon.
+        ++call.hops;
+        co_return co_await this->homeClient.execute(*current, std::move(call));
+    }
+    co_return co_await this->executeLocally(std::move(call));
+}
+
+net::awaitable<StatementAnswer> TrafficThread::transactForPeer(TransactionStep step, StatementCall call)
+{
+    const std::shared_ptr<const FleetView> current = this->view;
+    const auto home = current->homes.find(call.server);
+    const bool moved = home != current->homes.end() && home->second.member != this->options.memberId;
+    if (step == TransactionStep::Begin && moved && call.hops == 0) {
+        ++call.hops;
+        co_return co_await this->homeClient.transact(*current, step, std::move(call));
+    }
+    co_return co_await this->transactLocally(step, std::move(call));
+}
+
 net::HttpServer &TrafficThread::callers()
 {
     return *this->server;
@@ -159,11 +184,11 @@
     return total;
 }
 
-std::vector<net::Executor> TrafficPool::executors()
+std::vector<TrafficThread *> TrafficPool::all()
 {
-    std::vector<net::Executor> result;
+    std::vector<TrafficThread *> result;
     for (const std::unique_ptr<TrafficThread> &thread : this->threads) {
-        result.push_back(thread->executor());
+        result.push_back(thread.get());
     }
     return result;
 }
--- a/daemon/trafficthread.h
+++ b/daemon/trafficthread.h
@@ -23,7 +23,6 @@
     std::string dataCentre;
     net::TcpEndpoint listen;
     std::vector<std::string> sessionSecrets;
-    core::Duration handoverWait{};
     bool readFromReplicas = true;
     int threads = 1;
 };
@@ -53,6 +52,10 @@
     net::Executor executor();
     void setView(std::shared_ptr<const FleetView> view);
     HomeRegistry &homes();
+
+    /// Runs a call of another daemon: at the own home, or passes it on once if the home has moved.
+    net::awaitable<StatementAnswer> executeForPeer(StatementCall call);
+    net::awaitable<StatementAnswer> transactForPeer(TransactionStep step, StatementCall call);
     net::HttpServer &callers();
 
 private:
@@ -98,8 +101,8 @@
     /// Requests of callers in progress.
     std::size_t activeRequests();
 
-    /// Executors of the threads, in order.
-    std::vector<net::Executor> executors();
+    /// The threads, in order.
+    std::vector<TrafficThread *> all();
 
     void start();
     /// Stops accepting callers.
