Add the operator command

Cause: shift supervisors accept and withdraw documents and grant and revoke keys, and two of them may race. Change: console/ with the commands accept, withdraw, show, grant, revoke, keys and status. Every change is a compare-and-swap in the store; a call whose answer is lost is repeated and recognises its own operation id; a conflict names the winning revision. After a change the command polls the daemons until all report its revision, else it ends with not_in_force.

--- a/core/settingshelp.cpp
+++ b/core/settingshelp.cpp
@@ -39,7 +39,7 @@
     const std::string unit(setting.unit);
     switch (setting.type) {
     case SettingType::Text:
-        return setting.maximum > 0 ? "a text of " + rangeOf(setting) + " bytes" : "a text";
+        return setting.maximum > 0 ? "a text " + rangeOf(setting) + " bytes long" : "a text";
     case SettingType::Choice: {
         std::string names(setting.choices);
         for (std::size_t comma = names.find(','); comma != std::string::npos; comma = names.find(',', comma + 2)) {
--- /dev/null
+++ b/tests/console/test_commands.cpp
@@ -0,0 +1,231 @@
+#include "console/commands.h"
+
+#include "memorystore.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+
+namespace endiveshore::console {
+
+namespace json = boost::json;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Daemons that reach the wanted revision after some rounds.
+class FakePoller : public DaemonPoller
+{
+public:
+    std::vector<DaemonStatus> poll(core::Duration) override
+    {
+        ++this->rounds;
+        std::vector<DaemonStatus> statuses;
+        for (int index = 0; index < this->daemons; ++index) {
+            DaemonStatus status{.address = "127.0.0.1:" + std::to_string(25100 + index),
+                                .reachable = true,
+                                .daemon = "vm-" + std::to_string(index),
+                                .dataCentre = "Oviedo",
+                                .revision = this->revision};
+            if (index == this->lateDaemon && this->rounds < this->roundsUntilReady) {
+                status.revision = this->revision - 100;
+            }
+            if (index == this->silentDaemon) {
+                status.reachable = false;
+                status.error = "connect: refused";
+            }
+            statuses.push_back(status);
+        }
+        return statuses;
+    }
+
+    int daemons = 3;
+    std::int64_t revision = 100;
+    int lateDaemon = -1;
+    int silentDaemon = -1;
+    int roundsUntilReady = 0;
+    int rounds = 0;
+};
+
+class CommandsTest : public testing::Test
+{
+protected:
+    CommandResult run(std::vector<std::string> arguments, const std::string &input = {})
+    {
+        std::istringstream stream(input);
+        ConfigEditor editor(this->store, {.operatorName = "night", .timeout = 200ms, .retryPause = 1ms});
+        Commands commands(editor, this->poller, stream, this->options);
+        return commands.run(arguments);
+    }
+
+    static json::object jsonOf(const CommandResult &result)
+    {
+        std::ostringstream output;
+        std::ostringstream errors;
+        writeResult(result, true, output, errors);
+        EXPECT_EQ(errors.str(), "");
+        return json::parse(output.str()).as_object();
+    }
+
+    static std::string textOf(const CommandResult &result)
+    {
+        std::ostringstream output;
+        writeResult(result, false, output, output);
+        return output.str();
+    }
+
+    MemoryStore store;
+    FakePoller daemons;
+    DaemonPoller *poller = &daemons;
+    CommandOptions options{.wait = 100ms, .pollTimeout = 10ms, .pollPause = 1ms};
+};
+
+}
+
+// Guards against a success that is reported before the slowest daemon has the change.
+TEST_F(CommandsTest, AcceptWaitsUntilAllDaemonsHaveTheRevision)
+{
+    this->daemons.lateDaemon = 1;
+    this->daemons.roundsUntilReady = 5;
+    const CommandResult result = this->run({"accept", "-"}, sampleDocument(5));
+    EXPECT_EQ(result.code, core::ResultCode::Ok);
+    EXPECT_EQ(this->daemons.rounds, 5);
+    const json::object object = jsonOf(result);
+    EXPECT_EQ(object.at("code"), 0);
+    EXPECT_EQ(object.at("revision"), 11);
+    EXPECT_EQ(object.at("in_force"), true);
+    EXPECT_NE(textOf(result).find("result 0 ok"), std::string::npos);
+}
+
+// Guards against a false success when a daemon is late or silent.
+TEST_F(CommandsTest, AcceptReportsDaemonsWithoutTheRevision)
+{
+    this->daemons.silentDaemon = 2;
+    const CommandResult result = this->run({"accept", "-"}, sampleDocument(5));
+    EXPECT_EQ(result.code, core::ResultCode::NotInForce);
+    EXPECT_EQ(result.outcome, core::Outcome::Done);
+    EXPECT_EQ(exitCode(result.code), 15);
+    EXPECT_NE(result.message.find("127.0.0.1:25102"), std::string::npos) << result.message;
+    EXPECT_EQ(result.message.find("127.0.0.1:25101"), std::string::npos) << result.message;
+    EXPECT_EQ(jsonOf(result).at("in_force"), false);
+    EXPECT_EQ(this->store.revision, 11);
+}
+
+// Guards against a claim about daemons that were not asked.
+TEST_F(CommandsTest, WithoutDaemonsTheResultSaysNotChecked)
+{
+    this->poller = nullptr;
+    const CommandResult result = this->run({"accept", "-"}, sampleDocument(5));
+    EXPECT_EQ(result.code, core::ResultCode::Ok);
+    EXPECT_TRUE(jsonOf(result).at("in_force").is_null());
+}
+
+// Guards against a document from `show --json` that `accept` refuses after an edit.
+TEST_F(CommandsTest, ShownDocumentCanBeEditedAndAccepted)
+{
+    this->run({"accept", "-"}, sampleDocument(5));
+    json::object shown = jsonOf(this->run({"show", "rota-db"}));
+    EXPECT_EQ(shown.at("revision"), 11);
+    shown.at("databases").at(0).at("slots") = 7;
+
+    const std::string file = testing::TempDir() + "endiveshore-commands-document.json";
+    std::ofstream(file) << json::serialize(shown);
+    EXPECT_EQ(this->run({"accept", file}).code, core::ResultCode::Ok);
+    const CommandResult again = this->run({"accept", file});
+    std::remove(file.c_str());
+    EXPECT_EQ(again.code, core::ResultCode::DocumentConflict);
+    EXPECT_EQ(jsonOf(again).at("revision"), 12);
+    EXPECT_EQ(jsonOf(again).at("outcome"), "not_run");
+    EXPECT_EQ(jsonOf(this->run({"show", "rota-db"})).at("databases").at(0).at("slots"), 7);
+}
+
+// Guards against a refusal that does not say where the mistake is.
+TEST_F(CommandsTest, InvalidDocumentIsReportedWithItsPath)
+{
+    const CommandResult result = this->run({"accept", "-"}, sampleDocument(0));
+    EXPECT_EQ(jsonOf(result).at("code"), 502);
+    EXPECT_EQ(jsonOf(result).at("path"), "databases[0].slots");
+    EXPECT_EQ(textOf(result).find("result 502 invalid_document (not_run): databases[0].slots: "), 0U) << textOf(result);
+}
+
+// Guards against a granted key that is never shown although it works, and against one shown by another command.
+TEST_F(CommandsTest, GrantShowsTheKeyOnceAlsoIfADaemonIsLate)
+{
+    this->run({"accept", "-"}, sampleDocument(5));
+    this->daemons.silentDaemon = 0;
+    const CommandResult granted = this->run({"grant", "rota-db", "plaza"});
+    EXPECT_EQ(granted.code, core::ResultCode::NotInForce);
+    const std::string key(jsonOf(granted).at("key").as_string().c_str());
+    EXPECT_EQ(key.find("ek_"), 0U);
+    EXPECT_NE(textOf(granted).find(key), std::string::npos);
+
+    const CommandResult listed = this->run({"keys"});
+    EXPECT_EQ(textOf(listed).find(key), std::string::npos);
+    EXPECT_NE(textOf(listed).find(access::hashKey(key)), std::string::npos);
+    const CommandResult shown = this->run({"show", "rota-db"});
+    EXPECT_EQ(textOf(shown).find(key), std::string::npos);
+
+    this->daemons.silentDaemon = -1;
+    const CommandResult revoked = this->run({"revoke", "-"}, key + "\n");
+    EXPECT_EQ(revoked.code, core::ResultCode::Ok);
+    EXPECT_EQ(textOf(revoked).find(key), std::string::npos);
+    EXPECT_TRUE(jsonOf(this->run({"keys", "rota-db"})).at("keys").as_array().empty());
+    const CommandResult unknown = this->run({"revoke", key});
+    EXPECT_EQ(unknown.code, core::ResultCode::NotFound);
+    EXPECT_EQ(textOf(unknown).find(key), std::string::npos);
+}
+
+TEST_F(CommandsTest, RevokeTakesTheHash)
+{
+    this->run({"accept", "-"}, sampleDocument(5));
+    const json::object granted = jsonOf(this->run({"grant", "rota-db", "museo"}));
+    EXPECT_EQ(this->run({"revoke", granted.at("hash").as_string().c_str()}).code, core::ResultCode::Ok);
+    EXPECT_TRUE(jsonOf(this->run({"keys"})).at("keys").as_array().empty());
+}
+
+// Guards against a status that hides the daemons when the store is down, or a daemon that is behind.
+TEST_F(CommandsTest, StatusShowsDaemonsAlsoWithoutTheStore)
+{
+    this->run({"accept", "-"}, sampleDocument(5));
+    EXPECT_EQ(this->run({"status"}).code, core::ResultCode::Ok);
+
+    this->daemons.lateDaemon = 1;
+    this->daemons.roundsUntilReady = 1000;
+    EXPECT_EQ(this->run({"status"}).code, core::ResultCode::NotInForce);
+
+    this->store.refusedCalls = 1'000'000;
+    const CommandResult down = this->run({"status"});
+    EXPECT_EQ(down.code, core::ResultCode::StoreUnavailable);
+    EXPECT_EQ(down.outcome, core::Outcome::NotRun);
+    EXPECT_EQ(jsonOf(down).at("daemons").as_array().size(), 3U);
+}
+
+// Guards against commands that run with missing or unknown arguments.
+TEST_F(CommandsTest, WrongUsageEndsWithExitCodeTwo)
+{
+    for (const std::vector<std::string> &arguments :
+         std::vector<std::vector<std::string>>{{},
+                                               {"acept", "file"},
+                                               {"accept"},
+                                               {"grant", "rota-db"},
+                                               {"status", "now"},
+                                               {"revoke", "-"},
+                                               {"show", "../keys"},
+                                               {"accept", "/no/such/file"}}) {
+        EXPECT_EQ(exitCode(this->run(arguments).code), 2) << testing::PrintToString(arguments);
+    }
+    EXPECT_EQ(this->store.calls, 0);
+}
+
+// Guards against exit codes that scripts cannot tell apart.
+TEST(ExitCode, FollowsTheHundredsOfTheResultCode)
+{
+    EXPECT_EQ(exitCode(core::ResultCode::Ok), 0);
+    EXPECT_EQ(exitCode(core::ResultCode::InvalidSetting), 2);
+    EXPECT_EQ(exitCode(core::ResultCode::DocumentConflict), 15);
+    EXPECT_EQ(exitCode(core::ResultCode::MalformedRequest), 11);
+}
+
+}
--- /dev/null
+++ b/tests/console/test_configeditor.cpp
@@ -0,0 +1,231 @@
+#include "console/configeditor.h"
+
+#include "memorystore.h"
+
+#include <gtest/gtest.h>
+
+namespace endiveshore::console {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string ServiceKey = "/endiveshore/services/rota-db";
+
+EditorOptions quickOptions(std::string operatorName = "night")
+{
+    return {.operatorName = std::move(operatorName), .timeout = 300ms, .attemptTimeout = 50ms, .retryPause = 1ms};
+}
+
+class ConfigEditorTest : public testing::Test
+{
+protected:
+    MemoryStore store;
+    ConfigEditor editor{store, quickOptions()};
+
+    /// Error that @p call throws; code Ok if it throws none.
+    template<typename Call>
+    static ChangeError errorOf(Call call)
+    {
+        try {
+            call();
+        } catch (const ChangeError &error) {
+            return error;
+        } catch (const core::Error &error) {
+            ChangeError plain(error.code, error.message, {}, 0);
+            plain.outcome = error.outcome;
+            return plain;
+        }
+        return {core::ResultCode::Ok, {}, {}, 0};
+    }
+
+    /// Changes the document as another operator does.
+    void acceptAsAnother(int slots)
+    {
+        ConfigEditor another(this->store, quickOptions("day"));
+        const std::int64_t base
+            = this->store.values.count(ServiceKey) > 0 ? this->store.values[ServiceKey].revision : 0;
+        another.accept(sampleDocument(slots), base);
+    }
+};
+
+}
+
+// Guards against a stored document that differs from the accepted one, and against editing without its revision.
+TEST_F(ConfigEditorTest, AcceptStoresWhatShowGivesBack)
+{
+    const std::int64_t revision = this->editor.accept(sampleDocument(5), std::nullopt);
+    EXPECT_EQ(revision, 11);
+    const StoredDocument stored = this->editor.show("rota-db");
+    EXPECT_EQ(stored.document.databases.front().slots, 5);
+    EXPECT_EQ(stored.document.revision, 11);
+    EXPECT_EQ(stored.operatorName, "night");
+    EXPECT_EQ(stored.operationId, this->editor.operationId());
+    EXPECT_EQ(this->store.values[ServiceKey].value.find("\"revision\""), std::string::npos);
+}
+
+// Guards against a change on top of a document that its author has not seen.
+TEST_F(ConfigEditorTest, AcceptNeedsTheRevisionItIsBasedOn)
+{
+    const std::int64_t first = this->editor.accept(sampleDocument(5), std::nullopt);
+    ConfigEditor later(this->store, quickOptions());
+    for (const auto &[text, base] : {std::pair(sampleDocument(6), std::optional<std::int64_t>()),
+                                     std::pair(sampleDocument(6), std::optional<std::int64_t>(first - 1)),
+                                     std::pair(sampleDocument(6, 0), std::optional<std::int64_t>())}) {
+        const ChangeError error = errorOf([&, text = text, base = base] { later.accept(text, base); });
+        EXPECT_EQ(error.code, core::ResultCode::DocumentConflict);
+        EXPECT_EQ(error.outcome, core::Outcome::NotRun);
+        EXPECT_EQ(error.revision, first);
+    }
+    EXPECT_EQ(later.accept(sampleDocument(6, first), std::nullopt), first + 1);
+    ConfigEditor last(this->store, quickOptions());
+    EXPECT_EQ(last.accept(sampleDocument(7), first + 1), first + 2);
+}
+
+// Guards against a silent choice between two different bases.
+TEST_F(ConfigEditorTest, AcceptRefusesTwoDifferentBases)
+{
+    const ChangeError error = errorOf([&] { this->editor.accept(sampleDocument(5, 3), 4); });
+    EXPECT_EQ(error.code, core::ResultCode::InvalidSetting);
+    EXPECT_EQ(this->store.calls, 0);
+}
+
+// Guards against an invalid document that reaches the store.
+TEST_F(ConfigEditorTest, AcceptRefusesAnInvalidDocumentBeforeAnyCall)
+{
+    const ChangeError error = errorOf([&] { this->editor.accept(sampleDocument(0), std::nullopt); });
+    EXPECT_EQ(error.code, core::ResultCode::InvalidDocument);
+    EXPECT_EQ(error.path, "databases[0].slots");
+    EXPECT_EQ(this->store.calls, 0);
+}
+
+// Guards against two racing operators who both believe that their change is in force.
+TEST_F(ConfigEditorTest, OfTwoRacingOperatorsOneIsRefusedWithTheWinningRevision)
+{
+    this->store.beforeChange = [this] { this->acceptAsAnother(9); };
+    const ChangeError error = errorOf([&] { this->editor.accept(sampleDocument(5), std::nullopt); });
+    EXPECT_EQ(error.code, core::ResultCode::DocumentConflict);
+    EXPECT_EQ(error.outcome, core::Outcome::NotRun);
+    EXPECT_EQ(error.revision, 11);
+    EXPECT_NE(error.message.find("day"), std::string::npos);
+    EXPECT_EQ(this->editor.show("rota-db").document.databases.front().slots, 9);
+}
+
+// Guards against a refusal of, or a second change by, an accept whose answer was lost.
+TEST_F(ConfigEditorTest, AcceptRecognisesItsOwnChangeAfterALostAnswer)
+{
+    this->store.lostAnswers = 1;
+    EXPECT_EQ(this->editor.accept(sampleDocument(5), std::nullopt), 11);
+    EXPECT_EQ(this->store.revision, 11);
+}
+
+// Guards against "not run" for a change that took effect before another operator replaced it.
+TEST_F(ConfigEditorTest, ConflictAfterALostAnswerIsUnknown)
+{
+    this->store.lostAnswers = 1;
+    this->store.afterLostAnswer = [this] { this->acceptAsAnother(9); };
+    const ChangeError error = errorOf([&] { this->editor.accept(sampleDocument(5), std::nullopt); });
+    EXPECT_EQ(error.code, core::ResultCode::DocumentConflict);
+    EXPECT_EQ(error.outcome, core::Outcome::Unknown);
+    EXPECT_EQ(error.revision, 12);
+}
+
+// Guards against a command that gives up at the first failed call, and against a false "unknown" or "not run".
+TEST_F(ConfigEditorTest, RetriesUntilTheTimeoutAndReportsTheRightOutcome)
+{
+    this->store.refusedCalls = 3;
+    EXPECT_EQ(this->editor.accept(sampleDocument(5), std::nullopt), 11);
+
+    this->store.refusedCalls = 1'000'000;
+    ChangeError error = errorOf([&] { this->editor.accept(sampleDocument(6, 11), std::nullopt); });
+    EXPECT_EQ(error.code, core::ResultCode::StoreUnavailable);
+    EXPECT_EQ(error.outcome, core::Outcome::NotRun);
+
+    this->store.refusedCalls = 0;
+    this->store.lostAnswers = 1;
+    this->store.afterLostAnswer = [this] { this->store.refusedCalls = 1'000'000; };
+    ConfigEditor later(this->store, quickOptions());
+    error = errorOf([&] { later.accept(sampleDocument(6, 11), std::nullopt); });
+    EXPECT_EQ(error.code, core::ResultCode::StoreUnavailable);
+    EXPECT_EQ(error.outcome, core::Outcome::Unknown);
+
+    // The operator repeats the command under the same operation id once the store is back.
+    this->store.refusedCalls = 0;
+    EditorOptions repeated = quickOptions();
+    repeated.operationId = later.operationId();
+    EXPECT_EQ(ConfigEditor(this->store, repeated).accept(sampleDocument(6, 11), std::nullopt), 12);
+    EXPECT_EQ(errorOf([&] { ConfigEditor(this->store, repeated).accept(sampleDocument(7, 11), std::nullopt); }).code,
+              core::ResultCode::DocumentConflict);
+}
+
+// Guards against a withdrawal of a document that changed meanwhile, and against one that is not recognised.
+TEST_F(ConfigEditorTest, WithdrawRemovesTheDocumentItIsBasedOn)
+{
+    EXPECT_EQ(errorOf([&] { this->editor.withdraw("rota-db", std::nullopt); }).code, core::ResultCode::NotFound);
+    this->editor.accept(sampleDocument(5), std::nullopt);
+    this->store.beforeChange = [this] { this->acceptAsAnother(9); };
+    const ChangeError error = errorOf([&] { this->editor.withdraw("rota-db", std::nullopt); });
+    EXPECT_EQ(error.code, core::ResultCode::DocumentConflict);
+    EXPECT_EQ(error.revision, 12);
+
+    this->store.lostAnswers = 1;
+    EXPECT_EQ(this->editor.withdraw("rota-db", 12), 13);
+    EXPECT_TRUE(this->store.values.empty());
+}
+
+// Guards against a key in the clear in the store, and against grants that nobody can use.
+TEST_F(ConfigEditorTest, GrantStoresOnlyTheHash)
+{
+    this->editor.accept(sampleDocument(5), std::nullopt);
+    this->store.lostAnswers = 1;
+    const NewKey created = this->editor.grant("rota-db", "plaza");
+    EXPECT_EQ(created.hash, access::hashKey(created.key));
+    EXPECT_EQ(created.revision, 12);
+    for (const auto &[key, value] : this->store.values) {
+        EXPECT_EQ((key + value.value).find(created.key.substr(3)), std::string::npos);
+    }
+    const std::vector<StoredKey> keys = this->editor.keys("rota-db");
+    ASSERT_EQ(keys.size(), 1U);
+    EXPECT_EQ(keys[0].hash, created.hash);
+    EXPECT_EQ(keys[0].grant, (access::KeyGrant{.workspace = "plaza", .service = "rota-db"}));
+    EXPECT_TRUE(this->editor.keys("cover-ledger").empty());
+
+    EXPECT_EQ(errorOf([&] { this->editor.grant("rota-db", "plazza"); }).code, core::ResultCode::NotFound);
+    EXPECT_EQ(errorOf([&] { this->editor.grant("cover-ledger", "plaza"); }).code, core::ResultCode::NotFound);
+}
+
+// Guards against a key that cannot be found again after its grant has an unknown outcome.
+TEST_F(ConfigEditorTest, GrantWithUnknownOutcomeNamesTheHash)
+{
+    this->editor.accept(sampleDocument(5), std::nullopt);
+    this->store.lostAnswers = 1;
+    this->store.afterLostAnswer = [this] { this->store.refusedCalls = 1'000'000; };
+    const ChangeError error = errorOf([&] { this->editor.grant("rota-db", "plaza"); });
+    this->store.refusedCalls = 0;
+    EXPECT_EQ(error.outcome, core::Outcome::Unknown);
+    ASSERT_EQ(this->editor.keys("").size(), 1U);
+    EXPECT_NE(error.message.find(this->editor.keys("").front().hash), std::string::npos) << error.message;
+}
+
+// Guards against a key that still works after its revocation was confirmed.
+TEST_F(ConfigEditorTest, RevokeRemovesTheKey)
+{
+    this->editor.accept(sampleDocument(5), std::nullopt);
+    const NewKey created = this->editor.grant("rota-db", "plaza");
+    this->store.lostAnswers = 1;
+    EXPECT_EQ(this->editor.revoke(created.hash), 13);
+    EXPECT_TRUE(this->editor.keys("").empty());
+    EXPECT_EQ(errorOf([&] { this->editor.revoke(created.hash); }).code, core::ResultCode::NotFound);
+}
+
+// Guards against a wait for a revision that no daemon will ever report.
+TEST_F(ConfigEditorTest, HighestRevisionCountsOwnEntriesOnly)
+{
+    EXPECT_EQ(this->editor.highestRevision(), 0);
+    this->editor.accept(sampleDocument(5), std::nullopt);
+    this->store.revision = 50;
+    this->store.values["/other/key"] = {.key = "/other/key", .value = "x", .revision = 50};
+    EXPECT_EQ(this->editor.highestRevision(), 11);
+}
+
+}
