--- a/daemon/homeregistry.cpp
+++ b/daemon/homeregistry.cpp
@@ -31,7 +31,8 @@
     });
     std::erase_if(this->owned, [this](const auto &item) {
         const auto home = this->view->homes.find(item.first);
-        if (home != this->view->homes.end() && home->second.own && home->second.actsFrom && this->view->servers.contains(item.first)) {
+        if (home != this->view->homes.end() && home->second.own && home->second.actsFrom
+            && this->view->servers.contains(item.first)) {
             return false;
         }
         this->sink(item.first,
@@ -54,7 +55,8 @@
         homeOptions.server = server->second;
         const auto check = [this, key = key] { return this->isHome(key); };
         this->owned.emplace(key, std::make_shared<ServerHome>(this->executor, homeOptions, check, this->observer));
-        this->sink(key, "become_home", *home.actsFrom > core::Clock::now() ? "taken over from another daemon" : "assigned");
+        this->sink(
+            key, "become_home", *home.actsFrom > core::Clock::now() ? "taken over from another daemon" : "assigned");
     }
     for (const auto &[key, home] : this->owned) {
         home->update(*this->view);
--- a/daemon/peerfrontend.cpp
+++ b/daemon/peerfrontend.cpp
@@ -39,9 +39,8 @@
 void PeerFrontend::listen(const net::TcpEndpoint &endpoint)
 {
     for (TrafficThread *thread : this->traffic.all()) {
-        auto server = std::make_shared<net::PeerServer>([this, thread](net::HttpRequest request) {
-            return this->handle(*thread, std::move(request));
-        });
+        auto server = std::make_shared<net::PeerServer>(
+            [this, thread](net::HttpRequest request) { return this->handle(*thread, std::move(request)); });
         server->listen(thread->executor(), endpoint, true);
         this->servers.push_back(std::move(server));
     }
@@ -66,9 +65,7 @@
 
 net::awaitable<boost::json::object> PeerFrontend::dispatch(TrafficThread &thread, const net::HttpRequest &request)
 {
-    boost::json::object message = core::valueOrThrow([&request] {
-        return core::parseJsonObject(request.body);
-    });
+    boost::json::object message = core::valueOrThrow([&request] { return core::parseJsonObject(request.body); });
     if (request.target == "/peer/statement") {
         StatementCall call = statementCallFromJson(message, core::Clock::now());
         const StatementAnswer answer = co_await thread.executeForPeer(std::move(call));
--- a/tools/callerclient.cpp
+++ b/tools/callerclient.cpp
@@ -84,6 +84,11 @@
     return this->token;
 }
 
+void CallerClient::setSessionToken(std::string newToken)
+{
+    this->token = std::move(newToken);
+}
+
 void CallerClient::setKey(std::string newKey)
 {
     this->key = std::move(newKey);
--- a/tools/callerclient.h
+++ b/tools/callerclient.h
@@ -39,6 +39,9 @@
     net::awaitable<CallerAnswer> post(int port, std::string target, boost::json::object body, core::Duration timeout);
 
     const std::string &sessionToken() const;
+
+    /// Continues a session, for example one that another client began.
+    void setSessionToken(std::string newToken);
     void setKey(std::string newKey);
 
 private:
--- a/tools/deployment.cpp
+++ b/tools/deployment.cpp
@@ -154,6 +154,11 @@
     return exitCode.value_or(-1);
 }
 
+const std::string &Deployment::workDirectory() const
+{
+    return this->options.workDirectory;
+}
+
 const std::string &Deployment::key(std::size_t workspace) const
 {
     return this->keys.at(workspace);
--- a/tools/deployment.h
+++ b/tools/deployment.h
@@ -47,6 +47,7 @@
     /// Runs the operator command and returns its exit code; @p output receives standard output and error.
     int runOperator(std::vector<std::string> arguments, std::string *output = nullptr);
 
+    const std::string &workDirectory() const;
     const std::string &key(std::size_t workspace) const;
     std::vector<std::string> workspaceNames() const;
 
