--- /dev/null
+++ b/membership/homelease.cpp
@@ -0,0 +1,87 @@
+#include "membership/homelease.h"
+
+#include <algorithm>
+
+namespace endiveshore::membership {
+
+HomeLease::HomeLease(std::string selfId, HomeLeaseOptions options)
+    : selfId(std::move(selfId))
+    , options(options)
+{
+}
+
+bool HomeLease::heartbeat(core::TimePoint now)
+{
+    const bool paused = this->lastHeartbeat != core::TimePoint() && now - this->lastHeartbeat > this->options.lease;
+    this->lastHeartbeat = now;
+    if (paused) {
+        this->lost = true;
+        this->resumed = now;
+    }
+    return paused;
+}
+
+bool HomeLease::confirm(core::TimePoint now, core::TimePoint pingSent)
+{
+    if (!this->lost || pingSent < this->resumed) {
+        return false;
+    }
+    this->lost = false;
+    // Others may have taken homes over during the pause and not have heard yet that this daemon is back. That includes
+    // homes that reach this daemon only now, by a release that the others have long acted on.
+    for (auto &[serverId, entry] : this->entries) {
+        entry.notBefore = std::max(entry.notBefore, now + this->options.handoverWait);
+    }
+    return true;
+}
+
+void HomeLease::assign(core::TimePoint now, const std::string &serverId, const std::string &homeId, bool othersKnown)
+{
+    const auto [position, added] = this->entries.try_emplace(serverId);
+    Entry &entry = position->second;
+    if (!added && entry.home == homeId) {
+        return;
+    }
+    const bool released = entry.home.empty() || entry.home == this->selfId || this->left.contains(entry.home);
+    if (added ? othersKnown : !released) {
+        entry.notBefore = std::max(entry.notBefore, now + this->options.handoverWait);
+    }
+    entry.home = homeId;
+}
+
+void HomeLease::remove(const std::string &serverId)
+{
+    this->entries.erase(serverId);
+}
+
+void HomeLease::memberLeft(const std::string &memberId)
+{
+    this->left.insert(memberId);
+}
+
+void HomeLease::memberReturned(const std::string &memberId)
+{
+    this->left.erase(memberId);
+}
+
+bool HomeLease::mayAct(core::TimePoint now, const std::string &serverId) const
+{
+    const std::optional<core::TimePoint> from = this->actsFrom(serverId);
+    return from && now >= *from && now < this->validUntil();
+}
+
+std::optional<core::TimePoint> HomeLease::actsFrom(const std::string &serverId) const
+{
+    const auto found = this->entries.find(serverId);
+    if (this->lost || found == this->entries.end() || found->second.home != this->selfId) {
+        return std::nullopt;
+    }
+    return found->second.notBefore;
+}
+
+core::TimePoint HomeLease::validUntil() const
+{
+    return this->lastHeartbeat + this->options.lease;
+}
+
+}
