Refuse document fields that occur twice

Cause: Boost.JSON keeps the last of two members without a word, so an edit of the other one would be lost. Change: a pass over the parser events finds the first duplicate member and its path; a test also builds a document of 1,600 databases. Conclusion: the document is read without silent losses.

--- a/document/documentparser.cpp
+++ b/document/documentparser.cpp
@@ -1,6 +1,7 @@
 #include "document/documentparser.h"
 
 #include "document/documentchecks.h"
+#include "document/duplicatemembers.h"
 #include "document/fieldreaders.h"
 
 #include <array>
@@ -243,6 +244,9 @@
     if (parseError) {
         return refuse({}, "invalid JSON: " + parseError.message()).error();
     }
+    if (std::optional<std::string> duplicate = findDuplicateMember(text)) {
+        return refuse(std::move(*duplicate), "the field occurs twice").error();
+    }
     ServiceDocument document;
     if (ReadResult result
         = readObject(value, std::string(), std::span<const Field<ServiceDocument>>(DocumentFields), document);
--- a/tests/document/test_documentparser.cpp
+++ b/tests/document/test_documentparser.cpp
@@ -277,6 +277,50 @@
     }
 }
 
+// Guards against limits below the size of 1,600 databases that is expected in two years.
+TEST(DocumentParser, AcceptsTheExpectedNumberOfDatabases)
+{
+    constexpr std::size_t Databases = 1'600;
+    ServiceDocument document = parseValid(ValidDocument);
+    const Database sample = document.databases.front();
+    document.databases.clear();
+    for (std::size_t index = 0; index < Databases; ++index) {
+        Database database = sample;
+        database.name = "covers-in-the-store-" + std::to_string(index);
+        for (std::size_t server = 0; server < database.servers.size(); ++server) {
+            database.servers[server].id = database.name + "-" + std::to_string(server);
+            database.servers[server].address
+                = "10.100." + std::to_string(100 + server) + ".200:" + std::to_string(20'000 + index);
+        }
+        database.initialPrimary = database.servers.front().id;
+        document.databases.push_back(std::move(database));
+    }
+    const std::string text = serializeServiceDocument(document);
+    EXPECT_LE(text.size(), MaxDocumentBytes);
+    EXPECT_EQ(parseValid(text), document);
+}
+
+// Guards against an edit that is lost because the field occurs twice.
+TEST(DocumentParser, RefusesFieldsThatOccurTwice)
+{
+    const std::string text(ValidDocument);
+    const std::pair<std::string, std::string> cases[] = {
+        {R"("service": "rota-db",)", "service"},
+        {R"("data_centre": "Gijón")", "databases[0].servers[1].data_centre"},
+        {R"("max_age_ms": 1000)", "routes[0].max_age_ms"},
+        {R"("rate_per_s": 0.5,)", "workspaces[1].rate_per_s"},
+    };
+    for (const auto &[member, path] : cases) {
+        const std::size_t position = text.find(member);
+        ASSERT_NE(position, std::string::npos) << member;
+        std::string twice = text;
+        twice.insert(position, member + (member.ends_with(",") ? "" : ","));
+        const core::Failure failure = failureOf(twice);
+        EXPECT_EQ(failure.code, core::ResultCode::InvalidDocument) << path;
+        EXPECT_EQ(failure.path, path) << failure.message;
+    }
+}
+
 // Guards against a connection limit that is refused although two homes fit.
 TEST(DocumentParser, AcceptsTheSmallestConnectionLimitForTwoHomes)
 {
