--- /dev/null
+++ b/daemon/daemon.cpp
@@ -0,0 +1,545 @@
+#include "daemon/daemon.h"
+
+#include "confsync/relays.h"
+#include "core/json.h"
+#include "daemon/statementrouter.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <csignal>
+#include <sys/resource.h>
+
+namespace endiveshore::daemon {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+constexpr core::Milliseconds TickInterval {50};
+constexpr core::Milliseconds VmListInterval {1'000};
+constexpr core::Milliseconds PeerControlTimeout {2'000};
+constexpr core::Milliseconds DrainPollInterval {20};
+
+// Keys of the gossip state.
+constexpr std::string_view PrimaryStatePrefix = "primary/";
+constexpr std::string_view DrainingStatePrefix = "draining/";
+constexpr std::string_view LeavingServerStatePrefix = "leaving/";
+
+std::string endpointText(const net::TcpEndpoint &endpoint)
+{
+    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+std::vector<std::string> endpointTexts(const std::vector<net::TcpEndpoint> &endpoints)
+{
+    std::vector<std::string> texts;
+    for (const net::TcpEndpoint &endpoint : endpoints) {
+        texts.push_back(endpointText(endpoint));
+    }
+    return texts;
+}
+
+/// Rises with each start on a clock that VMs share well enough: restarts of one daemon are seconds apart.
+std::uint64_t startIncarnation()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<core::Milliseconds>(now).count());
+}
+
+double threadCpuSeconds()
+{
+    rusage usage {};
+    getrusage(RUSAGE_THREAD, &usage);
+    const auto seconds = [](const timeval &time) {
+        return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) / 1e6;
+    };
+    return seconds(usage.ru_utime) + seconds(usage.ru_stime);
+}
+
+bool isLive(const membership::Member &member)
+{
+    return member.state == membership::MemberState::Alive || member.state == membership::MemberState::Suspect;
+}
+
+telemetry::LogOptions logOptions(const DaemonSettings &settings)
+{
+    telemetry::LogOptions options;
+    options.format = telemetry::logFormatFromName(settings.logFormat);
+    options.level = telemetry::logLevelFromName(settings.logLevel);
+    options.output = settings.logOutput;
+    options.daemon = settings.id;
+    options.linesPerSecond = settings.logLinesPerSecond;
+    return options;
+}
+
+}
+
+Daemon::Daemon(DaemonSettings daemonSettings)
+    : settings(std::move(daemonSettings))
+    , log(logOptions(this->settings))
+    , lease(this->settings.id, membership::HomeLeaseOptions {.handoverWait = this->settings.handoverWait})
+    , catalogueBuilder([this](std::string_view key, std::string_view problem) {
+        this->log.line("configuration", telemetry::LogLevel::Error).field("key", key).field("problem", problem);
+    })
+    , freshness(this->settings.id, core::Clock::now())
+    , view(std::make_shared<const FleetView>())
+    , tickTimer(this->control)
+    , signals(this->control, SIGTERM, SIGINT)
+{
+    this->state.selfId = this->settings.id;
+    this->createServices();
+}
+
+Daemon::~Daemon()
+{
+    if (this->traffic) {
+        this->traffic->stop();
+    }
+}
+
+int Daemon::run()
+{
+    if (!this->settings.metricsListen.empty()) {
+        this->metrics.expose(this->settings.metricsListen);
+    }
+    this->gossip->start();
+    this->peerFrontend->listen(this->settings.peerListen);
+    this->admin->listen(this->control.get_executor(), this->settings.adminListen);
+    this->configuration->start();
+    this->traffic->start();
+    if (this->vmList) {
+        asio::co_spawn(this->control, this->pollVmList(), asio::detached);
+    }
+    this->signals.async_wait([this](const boost::system::error_code &error, int) {
+        if (!error) {
+            asio::co_spawn(this->control, this->drain(), asio::detached);
+        }
+    });
+    this->scheduleTick();
+    this->log.line("start").field("data_centre", this->settings.dataCentre).field("listen", endpointText(this->settings.listen));
+    this->control.run();
+    this->traffic->stop();
+    return 0;
+}
+
+TrafficHooks Daemon::trafficHooks()
+{
+    TrafficHooks hooks;
+    hooks.homeCheck = [this](std::uint64_t epoch) {
+        const core::TimePoint validUntil {core::Duration(this->leaseValidUntil.load())};
+        return epoch == this->homeEpoch.load() && core::Clock::now() < validUntil;
+    };
+    hooks.admit = [](std::string, std::string, core::TimePoint) -> net::awaitable<void> {
+        co_return;
+    };
+    hooks.leaving = [this] {
+        return this->leaving.load();
+    };
+    hooks.finished = [this](core::ResultCode code, core::Outcome outcome, const StatementAnswer *answer) {
+        this->metrics.statements(outcome).add();
+        if (code != core::ResultCode::Ok) {
+            this->metrics.refusals(code).add();
+        }
+        if (answer != nullptr && !answer->role.empty()) {
+            this->metrics.reads(answer->role == "replica" ? telemetry::ReadSource::Replica : telemetry::ReadSource::Primary).add();
+        }
+    };
+    hooks.queueWait = [this](core::Duration waited) {
+        this->metrics.queueTime().observe(waited);
+    };
+    hooks.routeDecision = [this](const StatementRouter::Decision &decision) {
+        auto line = this->log.line("route");
+        if (!line.isActive()) {
+            return;
+        }
+        line.field("database", decision.database)
+            .field("route", decision.route)
+            .field("workspace", decision.workspace)
+            .field("chosen", decision.chosen)
+            .field("reason", decision.reason)
+            .list("passed_over", decision.passedOver);
+    };
+    hooks.homeDecision = [this](const std::string &server, std::string_view decision, std::string_view reason) {
+        this->log.line("placement").field("server", server).field("decision", decision).field("reason", reason);
+    };
+    hooks.peerRefused = [this](const net::TcpEndpoint &endpoint) {
+        asio::post(this->control, [this, endpoint] {
+            this->gossip->reportRefused(endpoint);
+        });
+    };
+    return hooks;
+}
+
+void Daemon::createServices()
+{
+    TrafficOptions trafficOptions;
+    trafficOptions.memberId = this->settings.id;
+    trafficOptions.dataCentre = this->settings.dataCentre;
+    trafficOptions.listen = this->settings.listen;
+    trafficOptions.sessionSecrets = this->settings.sessionSecrets;
+    trafficOptions.readFromReplicas = this->settings.readFromReplicas;
+    trafficOptions.threads = this->settings.trafficThreads;
+    this->traffic = std::make_unique<TrafficPool>(trafficOptions, this->trafficHooks());
+    this->peerFrontend = std::make_unique<PeerFrontend>(this->control.get_executor(), *this->traffic);
+    net::PeerClientOptions peerOptions;
+    peerOptions.onRefused = [this](const net::TcpEndpoint &endpoint) {
+        this->gossip->reportRefused(endpoint);
+    };
+    this->peers = std::make_unique<net::PeerClient>(this->control.get_executor(), peerOptions);
+    this->admin = std::make_shared<net::HttpServer>([this](net::HttpRequest request, net::HttpConnection &) {
+        return this->handleAdmin(std::move(request));
+    });
+    if (this->settings.vmList) {
+        this->vmList = std::make_unique<platform::VmListClient>(*this->settings.vmList);
+    }
+    this->createGossip();
+    this->createConfiguration();
+    this->registerPeerHandlers();
+}
+
+void Daemon::createConfiguration()
+{
+    platform::StoreClientOptions storeOptions;
+    storeOptions.endpoints = {this->settings.store};
+    this->store = std::make_shared<platform::StoreClient>(this->control.get_executor(), storeOptions);
+    ConfigurationCallbacks callbacks;
+    callbacks.isRelay = [this] {
+        return this->isRelay();
+    };
+    callbacks.peers = [this] {
+        return this->livePeers();
+    };
+    callbacks.exchange = [this](std::string memberId, json::object request) {
+        return this->exchangeWithPeer(std::move(memberId), "/peer/config", std::move(request));
+    };
+    callbacks.revisionRaised = [this](const confsync::EntryStore &entries) {
+        this->rebuildCatalogue(entries);
+    };
+    ConfigurationOptions options;
+    options.seed = core::stableHash(this->settings.id);
+    this->configuration = std::make_shared<ConfigurationService>(this->control.get_executor(), this->store, options, callbacks);
+}
+
+void Daemon::createGossip()
+{
+    GossipServiceOptions options;
+    options.gossip.id = this->settings.id;
+    options.gossip.address = endpointText(this->settings.peerListen);
+    options.gossip.dataCentre = this->settings.dataCentre;
+    options.gossip.region = this->settings.region;
+    options.gossip.incarnation = startIncarnation();
+    options.gossip.seed = core::stableHash(this->settings.id);
+    options.gossip.seeds = endpointTexts(this->settings.seeds);
+    options.listen = net::parseUdpEndpoint(endpointText(this->settings.peerListen));
+    GossipCallbacks callbacks;
+    callbacks.onMember = [this](const membership::MemberEvent &event) {
+        this->onMember(event);
+    };
+    callbacks.onRevision = [this](const membership::RevisionRise &rise) {
+        this->configuration->noticeRevision(rise.memberId, static_cast<std::int64_t>(rise.revision));
+    };
+    callbacks.onState = [this](const membership::StateRise &rise) {
+        this->onState(rise);
+    };
+    this->gossip = std::make_shared<GossipService>(this->control.get_executor(), options, callbacks);
+}
+
+void Daemon::registerPeerHandlers()
+{
+    this->peerFrontend->addHandler("/peer/config", [this](json::object request) -> net::awaitable<json::object> {
+        co_return this->configuration->answer(request);
+    });
+}
+
+void Daemon::scheduleTick()
+{
+    this->tickTimer.expires_after(TickInterval);
+    this->tickTimer.async_wait([this](const boost::system::error_code &error) {
+        if (error || this->stopped) {
+            return;
+        }
+        this->tick();
+        this->scheduleTick();
+    });
+}
+
+void Daemon::tick()
+{
+    const core::TimePoint now = core::Clock::now();
+    if (this->lease.heartbeat(now)) {
+        // The new epoch is visible before the lease is renewed below, so no traffic thread can use the old homes.
+        this->state.homeEpoch = ++this->homeEpoch;
+        this->log.line("placement", telemetry::LogLevel::Warning).field("decision", "drop_all_homes").field("reason", "the control thread was paused");
+        this->markChanged();
+    }
+    if (this->lease.confirm(now, this->gossip->membership().lastConfirmation())) {
+        this->log.line("placement").field("decision", "resume_homes").field("reason", "another daemon has answered");
+        this->markChanged();
+    }
+    this->leaseValidUntil = this->lease.validUntil().time_since_epoch().count();
+    this->updateIsolation(now);
+    this->metrics.controlCpu().raiseTo(threadCpuSeconds());
+}
+
+void Daemon::markChanged()
+{
+    if (this->viewScheduled) {
+        return;
+    }
+    // Several changes of one turn of the event loop lead to one view.
+    this->viewScheduled = true;
+    asio::post(this->control, [this] {
+        this->viewScheduled = false;
+        this->publishView();
+    });
+}
+
+void Daemon::publishView()
+{
+    this->state.members = this->gossip->membership().members();
+    this->view = buildFleetView(this->state, this->lease, core::Clock::now());
+    this->traffic->publish(this->view);
+}
+
+void Daemon::rebuildCatalogue(const confsync::EntryStore &entries)
+{
+    std::vector<CatalogueEntry> live;
+    entries.visit(ConfigurationPrefix, [&live](std::string_view key, const confsync::Entry &entry) {
+        live.push_back({.key = key, .value = entry.value, .version = static_cast<std::uint64_t>(entry.version)});
+    });
+    const auto revision = static_cast<std::uint64_t>(entries.revision());
+    this->state.catalogue = this->catalogueBuilder.build(revision, live);
+    this->gossip->setConfigRevision(revision, this->isRelay());
+    this->metrics.configurationRevision().set(static_cast<double>(revision));
+    this->log.line("configuration").field("revision", revision).field("services", this->state.catalogue->services.size());
+    this->markChanged();
+}
+
+void Daemon::onMember(const membership::MemberEvent &event)
+{
+    this->log.line("membership")
+        .field("member", event.member.id)
+        .field("state", membership::memberStateName(event.member.state))
+        .field("incarnation", event.member.incarnation);
+    if (event.kind == membership::MemberEventKind::Left) {
+        this->lease.memberLeft(event.member.id);
+    }
+    if (event.kind == membership::MemberEventKind::Joined || event.kind == membership::MemberEventKind::AliveAgain) {
+        this->lease.memberReturned(event.member.id);
+    }
+    this->markChanged();
+}
+
+void Daemon::onState(const membership::StateRise &rise)
+{
+    const std::string_view key = rise.key;
+    if (key.starts_with(PrimaryStatePrefix)) {
+        const std::string group(key.substr(PrimaryStatePrefix.size()));
+        this->state.primaries[group] = {.term = static_cast<std::uint64_t>(rise.value.number), .primaryServer = rise.value.text};
+    } else if (key.starts_with(DrainingStatePrefix)) {
+        const std::string member(key.substr(DrainingStatePrefix.size()));
+        if (rise.value.number == 0) {
+            this->state.draining.erase(member);
+        } else {
+            this->state.draining.insert(member);
+        }
+    } else if (key.starts_with(LeavingServerStatePrefix)) {
+        const std::string address(key.substr(LeavingServerStatePrefix.size()));
+        if (rise.value.number == 0) {
+            this->state.leavingServers.erase(address);
+        } else {
+            this->state.leavingServers.insert(address);
+        }
+    }
+    this->markChanged();
+}
+
+void Daemon::updateIsolation(core::TimePoint now)
+{
+    if (this->configuration->lastStoreConfirmation() != core::TimePoint::min()) {
+        this->freshness.storeConfirmed(this->configuration->lastStoreConfirmation());
+    }
+    if (this->gossip->membership().seesMajority(now)) {
+        this->freshness.majorityConfirmed(now);
+    }
+    const bool isolated = this->freshness.isolated(now);
+    if (isolated == this->state.isolated) {
+        return;
+    }
+    this->state.isolated = isolated;
+    this->log.line("isolation", isolated ? telemetry::LogLevel::Warning : telemetry::LogLevel::Info)
+        .field("isolated", isolated)
+        .field("reason", isolated ? "neither the store nor a majority of members was reached in time" : "contact restored");
+    this->markChanged();
+}
+
+net::awaitable<void> Daemon::pollVmList()
+{
+    asio::steady_timer timer(this->control);
+    while (!this->stopped) {
+        if (this->isRelay()) {
+            try {
+                const platform::VmList list = co_await this->vmList->fetch();
+                for (const platform::Vm &vm : list.vms) {
+                    if (vm.kind != platform::VmKind::Backend) {
+                        continue;
+                    }
+                    const bool known = this->state.leavingServers.contains(vm.address);
+                    if (vm.leaving == known) {
+                        continue;
+                    }
+                    membership::StateValue value;
+                    value.number = vm.leaving ? 1 : 0;
+                    value.version = list.revision;
+                    const std::string key = std::string(LeavingServerStatePrefix) + vm.address;
+                    this->gossip->setState(key, value);
+                    this->onState({.key = key, .value = value});
+                    this->log.line("placement").field("server", vm.address).field("decision", vm.leaving ? "leave" : "return").field("reason", "VM list");
+                }
+            } catch (const core::Error &error) {
+                this->log.line("vm_list", telemetry::LogLevel::Warning).field("error", error.message);
+            }
+        }
+        timer.expires_after(VmListInterval);
+        co_await timer.async_wait(UseTuple);
+    }
+}
+
+bool Daemon::isRelay() const
+{
+    if (!this->settings.relayConfiguration) {
+        return true;
+    }
+    std::vector<std::string> live;
+    for (const membership::Member &member : this->gossip->membership().members()) {
+        if (isLive(member) && member.dataCentre == this->settings.dataCentre && !this->state.draining.contains(member.id)) {
+            live.push_back(member.id);
+        }
+    }
+    return confsync::isRelay(this->settings.id, this->settings.dataCentre, live);
+}
+
+std::vector<std::string> Daemon::livePeers() const
+{
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    for (const membership::Member &member : this->gossip->membership().members()) {
+        if (!isLive(member) || member.id == this->settings.id) {
+            continue;
+        }
+        (member.dataCentre == this->settings.dataCentre ? near : far).push_back(member.id);
+    }
+    near.insert(near.end(), far.begin(), far.end());
+    return near;
+}
+
+net::awaitable<json::object> Daemon::exchangeWithPeer(std::string memberId, std::string path, json::object request)
+{
+    const auto member = this->view->members.find(memberId);
+    net::TcpEndpoint endpoint;
+    if (member != this->view->members.end()) {
+        endpoint = member->second;
+    } else {
+        // Before the first view is published the membership is the only source.
+        for (const membership::Member &known : this->gossip->membership().members()) {
+            if (known.id == memberId) {
+                endpoint = net::parseEndpoint(known.address);
+            }
+        }
+    }
+    if (endpoint.port() == 0) {
+        throw core::Error(core::ResultCode::PeerUnreachable, "unknown member " + memberId);
+    }
+    net::HttpRequest message = net::jsonRequest(path, request);
+    const net::HttpResponse response = co_await this->peers->exchange(endpoint, std::move(message), PeerControlTimeout);
+    json::object answer = core::valueOrThrow([&response] {
+        return core::parseJsonObject(response.body);
+    });
+    throwIfError(response.status, answer);
+    co_return answer;
+}
+
+net::awaitable<net::HttpResponse> Daemon::handleAdmin(net::HttpRequest request)
+{
+    if (request.method != "GET" || request.target != "/admin/status") {
+        co_return net::errorResponse(core::ResultCode::UnknownPath, core::Outcome::NotRun, "unknown path or method");
+    }
+    const json::object body = this->status();
+    co_return net::jsonResponse(200, body);
+}
+
+json::object Daemon::status() const
+{
+    json::array members;
+    for (const membership::Member &member : this->gossip->membership().members()) {
+        members.push_back(json::object {{"id", member.id},
+                                        {"data_centre", member.dataCentre},
+                                        {"state", membership::memberStateName(member.state)},
+                                        {"revision", member.configRevision}});
+    }
+    json::object homes;
+    for (const auto &[server, home] : this->view->homes) {
+        homes[server] = home.member;
+    }
+    json::object primaries;
+    for (const auto &[group, primary] : this->view->groups) {
+        primaries[group] = json::object {{"term", primary.term}, {"server", primary.primaryServer}};
+    }
+    const net::UdpCounters &counters = this->gossip->counters();
+    return {
+        {"daemon", this->settings.id},
+        {"data_centre", this->settings.dataCentre},
+        {"revision", this->view->catalogue ? this->view->catalogue->revision : 0},
+        {"ready", this->view->ready},
+        {"isolated", this->view->isolated},
+        {"leaving", this->leaving.load()},
+        {"relay", this->isRelay()},
+        {"members", std::move(members)},
+        {"homes", std::move(homes)},
+        {"primaries", std::move(primaries)},
+        {"control_cpu_s", threadCpuSeconds()},
+        {"gossip_bytes", counters.bytesIn + counters.bytesOut},
+        {"store_calls", this->store->callCount()},
+    };
+}
+
+net::awaitable<void> Daemon::drain()
+{
+    const core::TimePoint start = core::Clock::now();
+    const core::TimePoint end = start + this->settings.drainLimit;
+    this->log.line("shutdown").field("phase", "drain").field("reason", "stop signal");
+    this->leaving = true;
+    membership::StateValue draining;
+    draining.number = 1;
+    draining.version = static_cast<std::int64_t>(startIncarnation());
+    const std::string key = std::string(DrainingStatePrefix) + this->settings.id;
+    this->gossip->setState(key, draining);
+    this->state.draining.insert(this->settings.id);
+    this->markChanged();
+    asio::steady_timer timer(this->control);
+    timer.expires_after(this->settings.drainLag);
+    co_await timer.async_wait(UseTuple);
+    this->traffic->stopAccepting();
+    while (core::Clock::now() < end) {
+        const std::size_t activity = co_await this->traffic->activity();
+        if (activity == 0 && this->traffic->activeRequests() == 0) {
+            break;
+        }
+        timer.expires_after(DrainPollInterval);
+        co_await timer.async_wait(UseTuple);
+    }
+    this->peerFrontend->stop();
+    this->gossip->leave();
+    this->log.line("shutdown").field("phase", "exit").field("duration_ms", core::toMilliseconds(core::Clock::now() - start));
+    this->stopped = true;
+    this->configuration->stop();
+    this->control.stop();
+}
+
+}
--- /dev/null
+++ b/daemon/daemon.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "confsync/freshnesstracker.h"
+#include "daemon/cataloguebuilder.h"
+#include "daemon/configservice.h"
+#include "daemon/daemonsettings.h"
+#include "daemon/fleetviewbuilder.h"
+#include "daemon/gossipservice.h"
+#include "daemon/peerfrontend.h"
+#include "daemon/trafficthread.h"
+#include "net/httpserver.h"
+#include "net/peerclient.h"
+#include "platform/vmlistclient.h"
+#include "telemetry/decisionlog.h"
+#include "telemetry/metrics.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <memory>
+#include <optional>
+
+namespace endiveshore::daemon {
+
+/// One daemon process: the control thread with its services, and the traffic threads. The control thread owns all
+/// state that changes by decision and publishes it as fleet views.
+class Daemon
+{
+public:
+    explicit Daemon(DaemonSettings settings);
+    ~Daemon();
+
+    /// Runs until a stop signal has been handled; returns the exit code. Throws boost::system::system_error if an
+    /// address is taken.
+    int run();
+
+private:
+    TrafficHooks trafficHooks();
+    void createServices();
+    void createConfiguration();
+    void createGossip();
+    void registerPeerHandlers();
+
+    // Control loop.
+    void scheduleTick();
+    void tick();
+    void markChanged();
+    void publishView();
+    void rebuildCatalogue(const confsync::EntryStore &entries);
+    void onMember(const membership::MemberEvent &event);
+    void onState(const membership::StateRise &rise);
+    void updateIsolation(core::TimePoint now);
+    net::awaitable<void> pollVmList();
+
+    // Roles derived from the membership.
+    bool isRelay() const;
+    std::vector<std::string> livePeers() const;
+    net::awaitable<boost::json::object> exchangeWithPeer(std::string memberId, std::string path, boost::json::object request);
+
+    // Operators and shutdown.
+    net::awaitable<net::HttpResponse> handleAdmin(net::HttpRequest request);
+    boost::json::object status() const;
+    net::awaitable<void> drain();
+
+    DaemonSettings settings;
+    boost::asio::io_context control {1};
+    telemetry::DecisionLog log;
+    telemetry::Metrics metrics;
+    FleetState state;
+    membership::HomeLease lease;
+    CatalogueBuilder catalogueBuilder;
+    confsync::FreshnessTracker freshness;
+    std::shared_ptr<const FleetView> view;
+    std::unique_ptr<TrafficPool> traffic;
+    std::unique_ptr<PeerFrontend> peerFrontend;
+    std::unique_ptr<net::PeerClient> peers;
+    std::shared_ptr<platform::StoreClient> store;
+    std::unique_ptr<platform::VmListClient> vmList;
+    std::shared_ptr<ConfigurationService> configuration;
+    std::shared_ptr<GossipService> gossip;
+    std::shared_ptr<net::HttpServer> admin;
+    boost::asio::steady_timer tickTimer;
+    boost::asio::signal_set signals;
+    std::atomic<bool> leaving {false};
+    std::atomic<std::uint64_t> homeEpoch {0};
+    std::atomic<core::TimePoint::rep> leaseValidUntil {0}; ///< Read by the traffic threads before each statement.
+    bool viewScheduled = false;
+    bool stopped = false;
+};
+
+}
