--- a/confsync/deltamessage.cpp
+++ b/confsync/deltamessage.cpp
@@ -5,6 +5,11 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <optional>
+
 namespace endiveshore::confsync {
 
 namespace json = boost::json;
@@ -12,6 +17,34 @@
 
 namespace {
 
+constexpr std::array<std::pair<DeltaKind, std::string_view>, 3> KindNames{{
+    {DeltaKind::Changes, "changes"},
+    {DeltaKind::Full, "full"},
+    {DeltaKind::Same, "same"},
+}};
+
+std::string_view kindName(DeltaKind kind)
+{
+    return std::find_if(KindNames.begin(), KindNames.end(), [kind](const auto &item) { return item.first == kind; })
+        ->second;
+}
+
+std::string digestText(std::uint64_t digest)
+{
+    std::array<char, 16> text{};
+    const auto written = std::to_chars(text.data(), text.data() + text.size(), digest, 16);
+    return std::string(text.data(), written.ptr);
+}
+
+std::optional<std::uint64_t> digestOf(const json::object &message)
+{
+    const std::string text = core::jsonString(message, "digest");
+    std::uint64_t digest = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), digest, 16);
+    const bool valid = !text.empty() && parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
+    return valid ? std::optional(digest) : std::nullopt;
+}
+
 bool isUtf8(std::string_view text)
 {
     // The parser of the receiving side decides what is valid.
@@ -43,7 +76,7 @@
         return malformed(path + ".version", "a version from 1 to the revision of the delta is required");
     }
     if (change.deleted) {
-        if (delta.full) {
+        if (delta.kind != DeltaKind::Changes) {
             return malformed(path + ".deleted", "a full delta holds only live entries");
         }
         return change;
@@ -81,16 +114,30 @@
         }
         entries.push_back(std::move(entry));
     }
-    return {
-        {"since", delta.since}, {"revision", delta.revision}, {"full", delta.full}, {"entries", std::move(entries)}};
+    json::object message{{"kind", kindName(delta.kind)},
+                         {"since", delta.since},
+                         {"revision", delta.revision},
+                         {"entries", std::move(entries)}};
+    if (delta.kind == DeltaKind::Same) {
+        message["digest"] = digestText(delta.digest);
+    }
+    if (delta.kind == DeltaKind::Full) {
+        message["unchanged"] = json::array(delta.unchangedKeys.begin(), delta.unchangedKeys.end());
+    }
+    return message;
 }
 
 leaf::result<Delta> deltaFromJson(const json::object &message)
 {
     Delta delta{.since = core::jsonInteger(message, "since", -1),
-                .revision = core::jsonInteger(message, "revision", -1),
-                .full = core::jsonBool(message, "full"),
-                .entries = {}};
+                .revision = core::jsonInteger(message, "revision", -1)};
+    const std::string kind = core::jsonString(message, "kind");
+    const auto known
+        = std::find_if(KindNames.begin(), KindNames.end(), [&kind](const auto &item) { return item.second == kind; });
+    if (known == KindNames.end()) {
+        return malformed("kind", "changes, full or same is required");
+    }
+    delta.kind = known->first;
     const json::array *items = core::jsonArray(message, "entries");
     if (delta.since < 0) {
         return malformed("since", "a revision is required");
@@ -101,6 +148,25 @@
     if (items == nullptr) {
         return malformed("entries", "an array is required");
     }
+    if (delta.kind == DeltaKind::Same) {
+        const std::optional<std::uint64_t> digest = digestOf(message);
+        if (!digest) {
+            return malformed("digest", "a hexadecimal digest is required");
+        }
+        delta.digest = *digest;
+    }
+    if (delta.kind == DeltaKind::Full) {
+        const json::array *unchanged = core::jsonArray(message, "unchanged");
+        if (unchanged == nullptr) {
+            return malformed("unchanged", "an array is required");
+        }
+        for (const json::value &key : *unchanged) {
+            if (!key.is_string()) {
+                return malformed("unchanged", "only keys are allowed");
+            }
+            delta.unchangedKeys.emplace_back(key.as_string().data(), key.as_string().size());
+        }
+    }
     delta.entries.reserve(items->size());
     for (std::size_t index = 0; index < items->size(); ++index) {
         const std::string path = "entries[" + std::to_string(index) + "]";
@@ -110,4 +176,18 @@
     return delta;
 }
 
+json::object deltaRequest(const EntryStore &store)
+{
+    return {{"since", store.revision()}, {"digest", digestText(store.digest())}};
+}
+
+leaf::result<json::object> answerDeltaRequest(const EntryStore &store, const json::object &request)
+{
+    const std::int64_t since = core::jsonInteger(request, "since", -1);
+    if (since < 0) {
+        return malformed("since", "a revision is required");
+    }
+    return deltaToJson(store.delta(since, digestOf(request)));
+}
+
 }
--- a/confsync/deltamessage.h
+++ b/confsync/deltamessage.h
@@ -8,7 +8,8 @@
 /// Bodies of the peer message /peer/config.
 namespace endiveshore::confsync {
 
-/// `{"since","revision","full","entries":[{"key","version","value"|"value_base64"|"deleted"}]}`. Values that are not
+/// `{"kind":"changes"|"full"|"same","since","revision","digest","unchanged":[key],
+/// "entries":[{"key","version","value"|"value_base64"|"deleted"}]}`. The digest is hexadecimal. Values that are not
 /// valid UTF-8 travel as base64.
 boost::json::object deltaToJson(const Delta &delta);
 
@@ -16,4 +17,11 @@
 /// 1..revision, and deleted entries in a full delta.
 boost::leaf::result<Delta> deltaFromJson(const boost::json::object &message);
 
+/// Request for the delta that leads from the state of @p store on: `{"since","digest"}`.
+boost::json::object deltaRequest(const EntryStore &store);
+
+/// Answer of @p store to deltaRequest(). Fails with MalformedRequest without a valid revision.
+boost::leaf::result<boost::json::object> answerDeltaRequest(const EntryStore &store,
+                                                            const boost::json::object &request);
+
 }
--- a/confsync/entrystore.cpp
+++ b/confsync/entrystore.cpp
@@ -1,5 +1,7 @@
 #include "confsync/entrystore.h"
 
+#include "core/hashing.h"
+
 #include <algorithm>
 #include <set>
 
@@ -11,11 +13,18 @@
 }
 
 MergeResult EntryStore::applySnapshot(std::span<const EntryChange> entries, std::int64_t revision)
+{
+    return this->replaceBy(entries, {}, revision);
+}
+
+MergeResult EntryStore::replaceBy(std::span<const EntryChange> entries,
+                                  std::span<const std::string> unchangedKeys,
+                                  std::int64_t revision)
 {
     if (revision <= this->currentRevision) {
         return MergeResult::Stale;
     }
-    std::set<std::string_view> present;
+    std::set<std::string_view> present(unchangedKeys.begin(), unchangedKeys.end());
     for (const EntryChange &entry : entries) {
         present.insert(entry.key);
         this->set(entry);
@@ -57,23 +66,69 @@
 
 MergeResult EntryStore::mergeDelta(const Delta &delta)
 {
-    return delta.full ? this->applySnapshot(delta.entries, delta.revision)
-                      : this->applyEvents(delta.entries, delta.since, delta.revision);
+    if (delta.revision <= this->currentRevision) {
+        return MergeResult::Stale;
+    }
+    if (delta.kind == DeltaKind::Changes) {
+        return this->applyEvents(delta.entries, delta.since, delta.revision);
+    }
+    if (delta.kind == DeltaKind::Full) {
+        // Unchanged entries are those of this daemon only if it is at least at the revision that they refer to.
+        return delta.since > this->currentRevision
+            ? MergeResult::Gap
+            : this->replaceBy(delta.entries, delta.unchangedKeys, delta.revision);
+    }
+    if (delta.digest != this->digest()) {
+        return MergeResult::Gap;
+    }
+    // Entries that were created and deleted in between left no tombstone here.
+    this->tombstoneFloor = delta.revision;
+    this->currentRevision = delta.revision;
+    return MergeResult::Applied;
 }
 
-Delta EntryStore::delta(std::int64_t since) const
+Delta EntryStore::delta(std::int64_t since, std::optional<std::uint64_t> digest) const
 {
-    Delta delta{.since = since, .revision = this->currentRevision, .full = since < this->tombstoneFloor, .entries = {}};
+    Delta delta{.since = since, .revision = this->currentRevision};
+    if (since >= this->tombstoneFloor) {
+        for (const auto &[key, entry] : this->entries) {
+            if (entry.version > since) {
+                delta.entries.push_back(
+                    {.key = key, .value = entry.value, .version = entry.version, .deleted = entry.deleted});
+            }
+        }
+        return delta;
+    }
+    if (digest && *digest == this->digest()) {
+        delta.kind = DeltaKind::Same;
+        delta.digest = *digest;
+        return delta;
+    }
+    delta.kind = DeltaKind::Full;
     for (const auto &[key, entry] : this->entries) {
-        const bool wanted = delta.full ? !entry.deleted : entry.version > since;
-        if (wanted) {
-            delta.entries.push_back(
-                {.key = key, .value = entry.value, .version = entry.version, .deleted = entry.deleted});
+        if (entry.deleted) {
+            continue;
+        }
+        if (entry.version <= since) {
+            delta.unchangedKeys.push_back(key);
+        } else {
+            delta.entries.push_back({.key = key, .value = entry.value, .version = entry.version});
         }
     }
     return delta;
 }
 
+std::uint64_t EntryStore::digest() const
+{
+    std::uint64_t digest = 0;
+    for (const auto &[key, entry] : this->entries) {
+        if (!entry.deleted) {
+            digest = core::stableHash(std::to_string(digest) + '|' + std::to_string(entry.version) + '|' + key);
+        }
+    }
+    return digest;
+}
+
 std::int64_t EntryStore::revision() const
 {
     return this->currentRevision;
--- a/confsync/entrystore.h
+++ b/confsync/entrystore.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -28,13 +29,21 @@
     bool deleted = false;
 };
 
-/// Changes that lead from any state between since and revision to the state at revision.
+enum class DeltaKind {
+    Changes, ///< All changes after since, deletions included.
+    Full, ///< All live entries; keys that are missing do not exist. Used where tombstones after since are not kept.
+    Same, ///< The live entries with this digest are also those at the revision of the delta.
+};
+
+/// Leads from any state between since and revision to the state at revision.
 struct Delta
 {
+    DeltaKind kind = DeltaKind::Changes;
     std::int64_t since = 0;
     std::int64_t revision = 0;
-    bool full = false; ///< Holds all entries; keys that it lacks do not exist at its revision.
+    std::uint64_t digest = 0; ///< Of a delta of the kind Same.
     std::vector<EntryChange> entries;
+    std::vector<std::string> unchangedKeys; ///< Of a full delta: live entries that have not changed after since.
 };
 
 enum class MergeResult {
@@ -62,8 +71,12 @@
 
     MergeResult mergeDelta(const Delta &delta);
 
-    /// What a daemon at revision @p since lacks.
-    Delta delta(std::int64_t since) const;
+    /// What a daemon at revision @p since lacks, whose live entries have the digest @p digest. Without the digest, a
+    /// daemon that lacks nothing but a higher revision may get a full delta.
+    Delta delta(std::int64_t since, std::optional<std::uint64_t> digest = std::nullopt) const;
+
+    /// Digest of the keys and versions of the live entries.
+    std::uint64_t digest() const;
 
     /// Highest store revision up to which the state is complete; 0 before the first input. Never falls.
     std::int64_t revision() const;
@@ -79,6 +92,8 @@
     std::size_t tombstoneCount() const;
 
 private:
+    MergeResult
+    replaceBy(std::span<const EntryChange> entries, std::span<const std::string> unchangedKeys, std::int64_t revision);
     void set(const EntryChange &change);
     void pruneTombstones();
 
--- /dev/null
+++ b/daemon/configservice.cpp
@@ -0,0 +1,343 @@
+#include "daemon/configservice.h"
+
+#include "confsync/deltamessage.h"
+#include "core/error.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace endiveshore::daemon {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+// A change reaches a daemon by several notices at once; more pulls in parallel would only repeat the same delta.
+constexpr std::size_t MaxPulls = 2;
+
+// Members asked in place of one that failed. Gossip shows the revision again if all of them fail.
+constexpr int MaxSubstitutes = 3;
+
+// Members asked for the first snapshot before the store is tried again.
+constexpr std::size_t PeersPerLoad = 3;
+
+}
+
+ConfigurationService::ConfigurationService(const net::Executor &executor,
+                                           std::shared_ptr<platform::StoreClient> store,
+                                           ConfigurationOptions options,
+                                           ConfigurationCallbacks callbacks)
+    : executor(executor)
+    , store(std::move(store))
+    , options(std::move(options))
+    , callbacks(std::move(callbacks))
+    , random(this->options.seed)
+{
+}
+
+void ConfigurationService::start()
+{
+    const std::shared_ptr<ConfigurationService> self = this->shared_from_this();
+    asio::co_spawn(
+        this->executor, [self]() -> net::awaitable<void> { co_await self->run(); }, asio::detached);
+    asio::co_spawn(
+        this->executor, [self]() -> net::awaitable<void> { co_await self->checkPulls(); }, asio::detached);
+}
+
+void ConfigurationService::stop()
+{
+    this->stopped = true;
+    this->candidates.clear();
+}
+
+bool ConfigurationService::loaded() const
+{
+    return this->configuration.revision() > 0;
+}
+
+std::int64_t ConfigurationService::revision() const
+{
+    return this->configuration.revision();
+}
+
+const confsync::EntryStore &ConfigurationService::entries() const
+{
+    return this->configuration;
+}
+
+core::TimePoint ConfigurationService::lastStoreConfirmation() const
+{
+    return this->storeConfirmation;
+}
+
+json::object ConfigurationService::answer(const json::object &request) const
+{
+    boost::leaf::result<json::object> delta = confsync::answerDeltaRequest(this->configuration, request);
+    if (!delta) {
+        throw core::Error(core::ResultCode::MalformedRequest, "since: a revision is required");
+    }
+    return std::move(delta.value());
+}
+
+void ConfigurationService::noticeRevision(std::string_view memberId, std::int64_t revision)
+{
+    if (this->stopped || revision <= this->configuration.revision()) {
+        return;
+    }
+    this->addCandidate({.memberId = std::string(memberId), .revision = revision});
+    this->schedulePulls();
+}
+
+net::awaitable<void> ConfigurationService::run()
+{
+    co_await this->load();
+    while (!this->stopped) {
+        if (this->callbacks.isRelay()) {
+            co_await this->followStore();
+        } else {
+            co_await this->pause(this->options.checkInterval);
+        }
+    }
+}
+
+net::awaitable<void> ConfigurationService::load()
+{
+    // g++ 12 miscompiles a co_await inside the condition of an if that leaves a loop.
+    while (!this->stopped && !this->loaded()) {
+        bool done = co_await this->loadFromStore();
+        if (!done) {
+            done = co_await this->loadFromPeers();
+        }
+        if (!done) {
+            co_await this->pause(this->retryPause());
+        }
+    }
+}
+
+net::awaitable<bool> ConfigurationService::loadFromStore()
+{
+    std::vector<confsync::EntryChange> snapshot;
+    std::int64_t snapshotRevision = 0;
+    const core::TimePoint started = core::Clock::now();
+    try {
+        for (const ConfigurationPart &part : this->options.parts) {
+            platform::RangeOptions range{.pageSize = part.pageSize, .revision = snapshotRevision};
+            platform::StoreSnapshot read = co_await this->store->range(part.prefix, range);
+            snapshotRevision = read.revision;
+            for (platform::StoreEntry &entry : read.entries) {
+                snapshot.push_back(
+                    {.key = std::move(entry.key), .value = std::move(entry.value), .version = entry.version});
+            }
+        }
+    } catch (const core::Error &) {
+        co_return false;
+    }
+    const confsync::MergeResult result = this->configuration.applySnapshot(snapshot, snapshotRevision);
+    this->watchedRevision = std::max(this->watchedRevision, snapshotRevision);
+    // The reads may have been answered at any time since they were sent.
+    this->storeConfirmation = std::max(this->storeConfirmation, started);
+    this->publishIf(result);
+    co_return true;
+}
+
+net::awaitable<bool> ConfigurationService::loadFromPeers()
+{
+    std::vector<std::string> peers = this->callbacks.peers();
+    peers.resize(std::min(peers.size(), PeersPerLoad));
+    for (const std::string &peer : peers) {
+        if (this->stopped || this->loaded()) {
+            break;
+        }
+        const bool answered = co_await this->pullFrom(peer);
+        static_cast<void>(answered);
+    }
+    co_return this->loaded();
+}
+
+net::awaitable<void> ConfigurationService::followStore()
+{
+    // Own changes up to the revision may have come from peers, so the watch need not report them again.
+    this->watchedRevision = std::max(this->watchedRevision, this->configuration.revision());
+    this->appliedRevision = this->configuration.revision();
+    const core::TimePoint opened = core::Clock::now();
+    platform::WatchOptions watch{.prefix = this->options.watchPrefix,
+                                 .fromRevision = this->watchedRevision + 1,
+                                 .silenceDeadline = this->options.watchSilence};
+    const std::shared_ptr<ConfigurationService> self = this->shared_from_this();
+    platform::WatchCallback callback = [self](const std::vector<platform::StoreEvent> &events, std::int64_t revision) {
+        return self->applyWatch(events, revision);
+    };
+    const platform::WatchEnd end = co_await this->store->watch(std::move(watch), std::move(callback));
+    if (end == platform::WatchEnd::Stopped) {
+        co_return;
+    }
+    if (end == platform::WatchEnd::Compacted) {
+        const bool reloaded = co_await this->loadFromStore();
+        if (reloaded) {
+            co_return;
+        }
+    }
+    // A watch that had worked for a while is opened anew at once.
+    const core::Duration wait = this->retryPause();
+    if (core::Clock::now() - opened < wait) {
+        co_await this->pause(wait);
+    }
+}
+
+bool ConfigurationService::applyWatch(const std::vector<platform::StoreEvent> &events, std::int64_t revision)
+{
+    this->storeConfirmation = core::Clock::now();
+    std::vector<confsync::EntryChange> changes;
+    for (const platform::StoreEvent &event : events) {
+        if (this->isConfigured(event.key)) {
+            changes.push_back(
+                {.key = event.key, .value = event.value, .version = event.version, .deleted = event.deleted});
+        }
+    }
+    if (!changes.empty()) {
+        const confsync::MergeResult result = this->configuration.applyEvents(changes, this->appliedRevision, revision);
+        this->appliedRevision = std::max(this->appliedRevision, revision);
+        this->publishIf(result);
+    }
+    this->watchedRevision = std::max(this->watchedRevision, revision);
+    return !this->stopped && this->callbacks.isRelay();
+}
+
+net::awaitable<void> ConfigurationService::checkPulls()
+{
+    while (!this->stopped) {
+        co_await this->pause(this->options.checkInterval);
+        this->schedulePulls();
+    }
+}
+
+void ConfigurationService::schedulePulls()
+{
+    std::erase_if(this->candidates,
+                  [this](const Candidate &candidate) { return candidate.revision <= this->configuration.revision(); });
+    const core::TimePoint now = core::Clock::now();
+    for (std::size_t index = 0; index < this->candidates.size() && !this->stopped;) {
+        if (!this->mayStartPull(this->candidates[index], now)) {
+            ++index;
+            continue;
+        }
+        Candidate chosen = std::move(this->candidates[index]);
+        this->candidates.erase(this->candidates.begin() + static_cast<std::ptrdiff_t>(index));
+        this->pulls.push_back({.candidate = chosen, .started = now});
+        const std::shared_ptr<ConfigurationService> self = this->shared_from_this();
+        asio::co_spawn(
+            this->executor, [self, chosen]() -> net::awaitable<void> { co_await self->pull(chosen); }, asio::detached);
+    }
+}
+
+bool ConfigurationService::mayStartPull(const Candidate &candidate, core::TimePoint now) const
+{
+    std::size_t recent = 0;
+    for (const Pull &pull : this->pulls) {
+        if (pull.candidate.memberId == candidate.memberId) {
+            return false;
+        }
+        if (now - pull.started >= this->options.hedgeDelay) {
+            // A late pull must not hold up the others; its member may be gone.
+            continue;
+        }
+        ++recent;
+        if (pull.candidate.revision >= candidate.revision) {
+            return false;
+        }
+    }
+    return recent < MaxPulls;
+}
+
+net::awaitable<void> ConfigurationService::pull(Candidate candidate)
+{
+    const bool answered = co_await this->pullFrom(candidate.memberId);
+    std::erase_if(this->pulls,
+                  [&candidate](const Pull &pull) { return pull.candidate.memberId == candidate.memberId; });
+    if (!answered && !this->stopped && candidate.revision > this->configuration.revision()) {
+        this->askSubstitute(candidate);
+    }
+    this->schedulePulls();
+}
+
+net::awaitable<bool> ConfigurationService::pullFrom(std::string memberId)
+{
+    json::object request = confsync::deltaRequest(this->configuration);
+    json::object message;
+    try {
+        message = co_await this->callbacks.exchange(std::move(memberId), std::move(request));
+    } catch (const std::exception &) {
+        co_return false;
+    }
+    const boost::leaf::result<confsync::Delta> delta = confsync::deltaFromJson(message);
+    if (!delta) {
+        co_return false;
+    }
+    this->publishIf(this->configuration.mergeDelta(delta.value()));
+    co_return true;
+}
+
+void ConfigurationService::addCandidate(Candidate candidate)
+{
+    for (Candidate &known : this->candidates) {
+        if (known.memberId == candidate.memberId) {
+            known.revision = std::max(known.revision, candidate.revision);
+            return;
+        }
+    }
+    this->candidates.push_back(std::move(candidate));
+}
+
+void ConfigurationService::askSubstitute(const Candidate &failed)
+{
+    if (failed.substitutes >= MaxSubstitutes) {
+        return;
+    }
+    const std::vector<std::string> peers = this->callbacks.peers();
+    const auto failedPeer = std::find(peers.begin(), peers.end(), failed.memberId);
+    // Continues after the failed member, so that each attempt asks another one.
+    const std::size_t start = failedPeer == peers.end() ? 0 : static_cast<std::size_t>(failedPeer - peers.begin()) + 1;
+    for (std::size_t offset = 0; offset < peers.size(); ++offset) {
+        const std::string &peer = peers[(start + offset) % peers.size()];
+        if (peer != failed.memberId) {
+            this->addCandidate({.memberId = peer, .revision = failed.revision, .substitutes = failed.substitutes + 1});
+            return;
+        }
+    }
+}
+
+net::awaitable<void> ConfigurationService::pause(core::Duration duration)
+{
+    asio::steady_timer timer(this->executor, duration);
+    auto waited = co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    static_cast<void>(waited);
+}
+
+core::Duration ConfigurationService::retryPause()
+{
+    // Relays that lost the store together must not return to it at the same moment.
+    std::uniform_real_distribution<double> factor(0.5, 1.5);
+    return std::chrono::duration_cast<core::Duration>(this->options.retryInterval * factor(this->random));
+}
+
+bool ConfigurationService::isConfigured(std::string_view key) const
+{
+    return std::any_of(this->options.parts.begin(), this->options.parts.end(), [key](const ConfigurationPart &part) {
+        return key.starts_with(part.prefix);
+    });
+}
+
+void ConfigurationService::publishIf(confsync::MergeResult result)
+{
+    if (result == confsync::MergeResult::Applied && !this->stopped) {
+        this->callbacks.revisionRaised(this->configuration);
+    }
+}
+
+}
--- /dev/null
+++ b/daemon/configservice.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "confsync/entrystore.h"
+#include "core/time.h"
+#include "net/asyncio.h"
+#include "platform/storeclient.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/object.hpp>
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace endiveshore::daemon {
+
+/// Part of the store that belongs to the configuration. Other keys are ignored.
+struct ConfigurationPart
+{
+    std::string prefix;
+    std::int64_t pageSize = 0; ///< Entries per read; bounds the size of the answer.
+};
+
+struct ConfigurationOptions
+{
+    std::string watchPrefix = "/endiveshore/"; ///< Contains all parts, so that one watch covers them.
+    /// A document may take 1 MB, the limit of the store; a key takes about 200 bytes.
+    std::vector<ConfigurationPart> parts{{"/endiveshore/services/", 5}, {"/endiveshore/keys/", 500}};
+    /// Below the isolation limit of 2 s, so that a dead watch is replaced before the daemon counts as isolated.
+    core::Duration watchSilence = std::chrono::milliseconds(1'500);
+    /// Between attempts to reach the store, varied by half in both directions.
+    core::Duration retryInterval = std::chrono::milliseconds(500);
+    /// How often the relay role and outstanding pulls are checked.
+    core::Duration checkInterval = std::chrono::milliseconds(100);
+    /// A second member is asked if the first has not answered within this time.
+    core::Duration hedgeDelay = std::chrono::milliseconds(200);
+    std::uint64_t seed = 1; ///< Of the variation of the retry interval.
+};
+
+struct ConfigurationCallbacks
+{
+    /// True if this daemon watches the store for its data centre.
+    std::function<bool()> isRelay;
+    /// Live members other than this one, best first.
+    std::function<std::vector<std::string>()> peers;
+    /// Sends @p request to /peer/config of a member. Must end within a few seconds; throws core::Error if it fails.
+    std::function<net::awaitable<boost::json::object>(std::string memberId, boost::json::object request)> exchange;
+    /// Called after each rise of the revision.
+    std::function<void(const confsync::EntryStore &entries)> revisionRaised;
+};
+
+/// Keeps the configuration of one daemon up to date. A relay watches the store; other daemons learn of higher revisions
+/// from notices and gossip and pull what they lack. Runs on the control thread's executor; not thread-safe. Must be
+/// owned by a shared_ptr; running operations keep it alive until stop() has taken effect.
+class ConfigurationService : public std::enable_shared_from_this<ConfigurationService>
+{
+public:
+    ConfigurationService(const net::Executor &executor,
+                         std::shared_ptr<platform::StoreClient> store,
+                         ConfigurationOptions options,
+                         ConfigurationCallbacks callbacks);
+
+    /// Loads the configuration from the store, else from a peer, and follows it until stop().
+    void start();
+    void stop();
+
+    /// True once a snapshot from the store or a peer is in force.
+    bool loaded() const;
+
+    std::int64_t revision() const;
+    const confsync::EntryStore &entries() const;
+
+    /// Newest time at which the store confirmed that this daemon knows all changes; TimePoint::min() if never.
+    core::TimePoint lastStoreConfirmation() const;
+
+    /// Answers /peer/config: `{"since","digest"}` -> a delta. Throws core::Error(MalformedRequest) without a valid
+    /// revision.
+    boost::json::object answer(const boost::json::object &request) const;
+
+    /// A notice or gossip message of @p memberId showed @p revision. Pulls from that member at once if it is higher.
+    void noticeRevision(std::string_view memberId, std::int64_t revision);
+
+private:
+    /// Member that showed a higher revision, or is asked in place of such a member.
+    struct Candidate
+    {
+        std::string memberId;
+        std::int64_t revision = 0;
+        int substitutes = 0; ///< Members that failed before this one was chosen in their place.
+    };
+
+    struct Pull
+    {
+        Candidate candidate;
+        core::TimePoint started;
+    };
+
+    net::awaitable<void> run();
+    net::awaitable<void> load();
+    net::awaitable<bool> loadFromStore();
+    net::awaitable<bool> loadFromPeers();
+    net::awaitable<void> followStore();
+    bool applyWatch(const std::vector<platform::StoreEvent> &events, std::int64_t revision);
+    net::awaitable<void> checkPulls();
+    void schedulePulls();
+    bool mayStartPull(const Candidate &candidate, core::TimePoint now) const;
+    net::awaitable<void> pull(Candidate candidate);
+    net::awaitable<bool> pullFrom(std::string memberId);
+    void addCandidate(Candidate candidate);
+    void askSubstitute(const Candidate &failed);
+    net::awaitable<void> pause(core::Duration duration);
+    core::Duration retryPause();
+    bool isConfigured(std::string_view key) const;
+    void publishIf(confsync::MergeResult result);
+
+    net::Executor executor;
+    std::shared_ptr<platform::StoreClient> store;
+    ConfigurationOptions options;
+    ConfigurationCallbacks callbacks;
+    confsync::EntryStore configuration;
+    std::mt19937_64 random;
+    bool stopped = false;
+    core::TimePoint storeConfirmation = core::TimePoint::min();
+    std::int64_t watchedRevision = 0; ///< Store revision up to which the watch has reported everything.
+    std::int64_t appliedRevision = 0; ///< Revision of the last change that the watch has applied.
+    std::vector<Candidate> candidates;
+    std::vector<Pull> pulls; ///< In flight, at most one per member.
+};
+
+}
