--- a/tests/telemetry/test_metrics.cpp
+++ b/tests/telemetry/test_metrics.cpp
@@ -10,6 +10,9 @@
 
 #include <gtest/gtest.h>
 
+#include <filesystem>
+#include <fstream>
+#include <sstream>
 #include <thread>
 
 namespace endiveshore::telemetry {
@@ -95,6 +98,24 @@
     }
 }
 
+// Guards against a metric that operators cannot look up, and against labels that differ from the page.
+TEST(Metrics, OperationsPageListsEveryMetric)
+{
+    const std::filesystem::path root = std::filesystem::path(__FILE__).parent_path().parent_path().parent_path();
+    std::ifstream file(root / "docs" / "operations.md");
+    std::stringstream page;
+    page << file.rdbuf();
+    for (const MetricInfo &info : metricTable()) {
+        std::string labels(info.labels);
+        for (std::size_t comma = labels.find(','); comma != std::string::npos; comma = labels.find(',', comma + 5)) {
+            labels.replace(comma, 1, "`, `");
+        }
+        const std::string row
+            = "| `" + std::string(info.name) + "` | " + (labels.empty() ? "" : "`" + labels + "` ") + "| ";
+        EXPECT_NE(page.str().find(row), std::string::npos) << row;
+    }
+}
+
 // Guards against lost observations under concurrency and against buckets that exclude their own bound.
 TEST(Metrics, HistogramCountsEveryObservation)
 {
