Keep outcomes known when a connection has died unnoticed

Cause: after a primary was killed behind a proxy, writes on idle or new connections ended as unknown although no server had seen them. Change: an exchange first checks that its connection is still open, and a write on a connection without an answered request is preceded by a status call. Conclusion: only writes in flight at the moment of the failure stay unknown.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/daemon.h"
 
 #include "confsync/relays.h"
+#include "core/hashing.h"
 #include "core/json.h"
 #include "daemon/statementrouter.h"
 
--- a/daemon/main_endiveshored.cpp
+++ b/daemon/main_endiveshored.cpp
@@ -17,7 +17,7 @@
     using namespace endiveshore;
     try {
         const core::ProgramInfo program = daemon::DaemonSettings::program();
-        const std::span<const char *const> flags(arguments + 1, static_cast<std::size_t>(argumentCount - 1));
+        const std::span<const char *const> flags(arguments, static_cast<std::size_t>(argumentCount));
         const core::Settings settings(program, daemon::DaemonSettings::table(), flags, core::processEnvironment());
         if (settings.action() == core::SettingsAction::Check || settings.action() == core::SettingsAction::Run) {
             daemon::DaemonSettings::fromSettings(settings);
--- a/daemon/serverhome.cpp
+++ b/daemon/serverhome.cpp
@@ -27,6 +27,7 @@
 constexpr core::Milliseconds StatementLimit{2'000};
 // A statement may need this long at the server, so it is not started later than this before its deadline.
 constexpr core::Milliseconds StatementReserve{20};
+constexpr core::Milliseconds ConnectionCheckLimit {500};
 constexpr core::Milliseconds WaitExchangeMargin{250};
 
 /// Counts a call while it is in scope.
@@ -262,6 +263,11 @@
     request.minTerm = static_cast<std::int64_t>(call.required.term);
     backend::ConnectionPool::Lease lease = co_await this->pool.acquire(call.deadline - core::Clock::now());
     const core::TimePoint openedAt = lease.openedAt();
+    if (!call.readOnly && !lease.isReused()) {
+        // A middle box may accept the connection although the server is gone. A failed check leaves the outcome known,
+        // a failed write would not.
+        co_await this->checkConnection(lease.client(), call.deadline);
+    }
     backend::StatementResult result;
     try {
         result = co_await lease.client().statement(std::move(request), statementTimeout(call.deadline));
@@ -285,6 +291,15 @@
     co_return answer;
 }
 
+net::awaitable<void> ServerHome::checkConnection(backend::ServerClient &client, core::TimePoint deadline)
+{
+    try {
+        co_await client.status(std::min<core::Duration>(ConnectionCheckLimit, deadline - core::Clock::now()));
+    } catch (const core::Error &error) {
+        throw core::Error(core::ResultCode::BackendUnreachable, "connection check: " + error.message);
+    }
+}
+
 net::awaitable<StatementAnswer> ServerHome::executeInTransaction(StatementCall call)
 {
     const std::shared_ptr<Transaction> transaction = this->useTransaction(call);
--- a/daemon/serverhome.h
+++ b/daemon/serverhome.h
@@ -68,6 +68,7 @@
     };
 
     net::awaitable<StatementAnswer> executeOnce(StatementCall call);
+    net::awaitable<void> checkConnection(backend::ServerClient &client, core::TimePoint deadline);
     net::awaitable<StatementAnswer> executeInTransaction(StatementCall call);
     net::awaitable<StatementAnswer> begin(StatementCall call);
     net::awaitable<StatementAnswer> commit(StatementCall call);
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -9,7 +9,10 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <cerrno>
+
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace endiveshore::net {
 
@@ -25,6 +28,15 @@
 // forgotten it without a reset.
 constexpr int TcpUserTimeoutMs = 5'000;
 
+/// True if the peer has closed the connection or sent bytes that belong to no request. Detecting this before a request
+/// leaves keeps its outcome known.
+bool isStale(asio::ip::tcp::socket &socket)
+{
+    char byte = 0;
+    const ssize_t received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 }
 
 struct HttpClientConnection::Impl
@@ -82,6 +94,9 @@
 {
     Impl &state = *this->impl;
     state.unsent = true;
+    if (state.open && isStale(state.stream.socket())) {
+        this->close();
+    }
     if (!state.open) {
         throw core::Error(core::ResultCode::BackendUnreachable, "connection is closed");
     }
--- a/tests/net/test_http.cpp
+++ b/tests/net/test_http.cpp
@@ -93,6 +93,29 @@
     });
 }
 
+// Guards against sending a request on a connection that the server has closed, which would leave its outcome unknown.
+TEST(HttpClientConnection, RequestOnAClosedConnectionDoesNotLeave)
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, TestEndpoint);
+    bool refused = false;
+    const auto client = [&]() -> awaitable<void> {
+        HttpClientConnection connection(co_await asio::this_coro::executor);
+        co_await connection.connect(TestEndpoint, 1s);
+        asio::ip::tcp::socket accepted = co_await acceptor.async_accept(asio::use_awaitable);
+        accepted.close();
+        HttpRequest request;
+        try {
+            co_await connection.exchange(request, 1s);
+        } catch (const core::Error &error) {
+            refused = error.outcome == core::Outcome::NotRun;
+        }
+    };
+    asio::co_spawn(context, client(), asio::detached);
+    context.run_for(5s);
+    EXPECT_TRUE(refused);
+}
+
 // Guards against a malformed or oversized request that ends the process or another connection.
 TEST(HttpServer, BadRequestsGetANumberedErrorAndCloseOnlyTheirConnection)
 {
