--- a/daemon/configservice.cpp
+++ b/daemon/configservice.cpp
@@ -90,7 +90,8 @@
     if (this->stopped || revision <= this->configuration.revision()) {
         return;
     }
-    this->addCandidate({.memberId = std::string(memberId), .revision = revision});
+    this->addCandidate(
+        {.memberId = std::string(memberId), .revision = revision, .notBefore = this->earliestPull(memberId)});
     this->schedulePulls();
 }
 
@@ -238,6 +239,9 @@
 
 bool ConfigurationService::mayStartPull(const Candidate &candidate, core::TimePoint now) const
 {
+    if (now < candidate.notBefore) {
+        return false;
+    }
     std::size_t recent = 0;
     for (const Pull &pull : this->pulls) {
         if (pull.candidate.memberId == candidate.memberId) {
@@ -294,6 +298,14 @@
     this->candidates.push_back(std::move(candidate));
 }
 
+core::TimePoint ConfigurationService::earliestPull(std::string_view memberId) const
+{
+    const core::TimePoint now = core::Clock::now();
+    const bool watching = this->callbacks.isRelay() && this->storeConfirmation >= now - this->options.watchSilence;
+    const bool near = !this->callbacks.isNear || this->callbacks.isNear(memberId);
+    return watching || !near ? now + this->options.farDelay : now;
+}
+
 void ConfigurationService::askSubstitute(const Candidate &failed)
 {
     if (failed.substitutes >= MaxSubstitutes) {
--- a/daemon/configservice.h
+++ b/daemon/configservice.h
@@ -37,6 +37,9 @@
     core::Duration checkInterval = std::chrono::milliseconds(100);
     /// A second member is asked if the first has not answered within this time.
     core::Duration hedgeDelay = std::chrono::milliseconds(200);
+    /// How long a pull from a far member waits for a notice of a near one, and a pull of a relay for its own watch. A
+    /// change crosses the regions once per relay instead of once per daemon.
+    core::Duration farDelay = std::chrono::milliseconds(300);
     std::uint64_t seed = 1; ///< Of the variation of the retry interval.
 };
 
@@ -48,6 +51,8 @@
     std::function<std::vector<std::string>()> peers;
     /// Sends @p request to /peer/config of a member. Must end within a few seconds; throws core::Error if it fails.
     std::function<net::awaitable<boost::json::object>(std::string memberId, boost::json::object request)> exchange;
+    /// True if traffic with the member stays in this daemon's region. All members are near if it is not set.
+    std::function<bool(std::string_view memberId)> isNear;
     /// Called after each rise of the revision.
     std::function<void(const confsync::EntryStore &entries)> revisionRaised;
 };
@@ -80,7 +85,8 @@
     /// revision.
     boost::json::object answer(const boost::json::object &request) const;
 
-    /// A notice or gossip message of @p memberId showed @p revision. Pulls from that member at once if it is higher.
+    /// A notice or gossip message of @p memberId showed @p revision. Pulls from that member if it is higher: at
+    /// once, or after ConfigurationOptions::farDelay if a cheaper source is likely.
     void noticeRevision(std::string_view memberId, std::int64_t revision);
 
 private:
@@ -89,6 +95,7 @@
     {
         std::string memberId;
         std::int64_t revision = 0;
+        core::TimePoint notBefore = core::TimePoint::min();
         int substitutes = 0; ///< Members that failed before this one was chosen in their place.
     };
 
@@ -110,6 +117,7 @@
     net::awaitable<void> pull(Candidate candidate);
     net::awaitable<bool> pullFrom(std::string memberId);
     void addCandidate(Candidate candidate);
+    core::TimePoint earliestPull(std::string_view memberId) const;
     void askSubstitute(const Candidate &failed);
     net::awaitable<void> pause(core::Duration duration);
     core::Duration retryPause();
--- a/tests/daemon/test_configservice.cpp
+++ b/tests/daemon/test_configservice.cpp
@@ -33,6 +33,7 @@
     struct Daemon
     {
         bool relay = false;
+        bool far = false; ///< In the other region.
         bool failing = false; ///< Exchanges with it fail.
         core::Duration answerDelay{0};
         int exchanges = 0;
@@ -72,6 +73,7 @@
             }
             return peers;
         };
+        callbacks.isNear = [this](std::string_view memberId) { return !this->daemons.at(std::string(memberId)).far; };
         callbacks.exchange = [this](std::string memberId, json::object request) {
             return this->exchange(std::move(memberId), std::move(request));
         };
@@ -302,6 +304,35 @@
     });
 }
 
+// Guards against deltas that each daemon pulls across the regions although a near member has them, and against a
+// daemon that never asks a far member.
+TEST(ConfigurationService, FarMemberIsAskedOnlyWithoutANearOne)
+{
+    runFleet([](Fleet &fleet) -> net::awaitable<void> {
+        fleet.add("d1", true);
+        fleet.add("d2", true);
+        fleet.add("d3", false);
+        co_await waitFor([&] { return fleet.store->calls().openWatches == 2 && fleet.service("d3").loaded(); });
+        fleet.daemons.at("d1").far = true;
+        fleet.putDirectly("/endiveshore/keys/abc", "granted");
+        co_await waitFor([&] {
+            return fleet.value("d1", "/endiveshore/keys/abc") == "granted"
+                && fleet.value("d2", "/endiveshore/keys/abc") == "granted";
+        });
+        fleet.service("d3").noticeRevision("d1", fleet.service("d1").revision());
+        EXPECT_EQ(fleet.daemons.at("d1").exchanges, 0);
+        fleet.service("d3").noticeRevision("d2", fleet.service("d2").revision());
+        co_await waitFor([&] { return fleet.value("d3", "/endiveshore/keys/abc") == "granted"; });
+        EXPECT_EQ(fleet.daemons.at("d1").exchanges, 0);
+        EXPECT_EQ(fleet.daemons.at("d2").exchanges, 1);
+        fleet.removeDirectly("/endiveshore/keys/abc");
+        co_await waitFor([&] { return fleet.value("d1", "/endiveshore/keys/abc").empty(); });
+        fleet.service("d3").noticeRevision("d1", fleet.service("d1").revision());
+        co_await waitFor([&] { return fleet.value("d3", "/endiveshore/keys/abc").empty(); });
+        EXPECT_EQ(fleet.daemons.at("d1").exchanges, 1);
+    });
+}
+
 // Guards against a change that is lost because the member that announced it fails or hangs.
 TEST(ConfigurationService, PullIsRepeatedOnAnotherMember)
 {
