--- a/membership/gossipmember.cpp
+++ b/membership/gossipmember.cpp
@@ -81,6 +81,7 @@
 void GossipMember::resumeAfterPause(core::TimePoint now)
 {
     const core::Duration gap = now - this->lastTick;
+    this->resumed = now;
     this->probes.clear();
     this->probeResults.clear();
     for (const std::string &id : this->suspects) {
@@ -258,6 +259,11 @@
     if (!parsed || parsed->header.sender == this->own.id) {
         return {};
     }
+    if (this->lastTick != core::TimePoint() && now - this->lastTick > PauseLimit) {
+        // The socket held this datagram during a pause of the process.
+        this->resumeAfterPause(now);
+        this->lastTick = now;
+    }
     const GossipMessage &message = *parsed;
     this->lastHeard = now;
     for (const Member &entry : message.members) {
@@ -433,7 +439,8 @@
     if (this->knownCount == 1) {
         return !this->silent;
     }
-    if (this->silent || now - this->lastHeard > ContactWindow) {
+    const bool paused = now - this->lastTick > PauseLimit || this->confirmed < this->resumed;
+    if (this->silent || paused || now - this->lastHeard > ContactWindow) {
         return false;
     }
     const std::ptrdiff_t failed = std::count(this->probeResults.begin(), this->probeResults.end(), false);
--- a/membership/gossipmember.h
+++ b/membership/gossipmember.h
@@ -73,8 +73,9 @@
     bool hasJoined() const;
 
     /// True if this member has heard from others within the last second, its recent pings were not mostly in vain and
-    /// it holds a majority of the known members alive. Known are also members dead for less than 60 s and seeds that
-    /// are not alive, as long as they are seeds; members that have left are not.
+    /// it holds a majority of the known members alive. After a pause a ping has to be answered first. Known are also
+    /// members dead for less than 60 s and seeds that are not alive, as long as they are seeds; members that have left
+    /// are not.
     bool seesMajority(core::TimePoint now) const;
 
     /// When the latest answered ping was sent; the epoch if none was answered.
@@ -182,6 +183,7 @@
     core::TimePoint lastTick;
     core::TimePoint lastHeard;
     core::TimePoint confirmed;
+    core::TimePoint resumed; ///< End of the last pause.
     core::TimePoint nextPing;
     core::TimePoint nextSuspectPing;
     core::TimePoint nextContact;
--- a/tests/membership/test_gossip.cpp
+++ b/tests/membership/test_gossip.cpp
@@ -128,10 +128,13 @@
         ASSERT_TRUE(world.run(10s, [&] { return allHold(world, 3, MemberState::Dead); }));
         world.run(2s);
         EXPECT_FALSE(world.member(3).seesMajority(world.now));
+        // Datagrams that waited in the socket must not pass for fresh contact.
         world.resume(3);
+        EXPECT_FALSE(world.member(3).seesMajority(world.now));
         const core::TimePoint start = world.now;
         ASSERT_TRUE(world.run(10s, [&] { return world.hasConverged(); }));
         EXPECT_LE(seconds(world.now - start), 3.0);
+        EXPECT_TRUE(world.member(3).seesMajority(world.now));
         EXPECT_GT(world.member(3).self().refutation, 0U);
         EXPECT_EQ(world.countEvents(MemberEventKind::Dead), 6U);
         EXPECT_EQ(world.countEvents(MemberEventKind::AliveAgain), 6U);
