Use platform::StoreClient in the operator command

Cause: the command had its own etcd adapter until the platform's client was there; two clients of one protocol would drift apart. Change: PlatformConfigStore replaces EtcdConfigStore; the tests of the adapter run unchanged against it. A removal whose answer was lost now reads the store's revision, because the client does not report it. A program test runs the command against the store stand-in, also paused and killed. Conclusion: one store client.

--- a/console/configeditor.cpp
+++ b/console/configeditor.cpp
@@ -147,12 +147,23 @@
         return result.revision;
     }
     if (change.isOwnResult(result.current, possiblyApplied)) {
-        return result.current ? result.current->revision : result.revision;
+        return result.current ? result.current->revision : this->revisionAfterRemoval();
     }
     current = std::move(result.current);
     return std::nullopt;
 }
 
+std::int64_t ConfigEditor::revisionAfterRemoval()
+{
+    try {
+        // The revision of a removal whose answer was lost cannot be read back; that of the store is not below it.
+        return this->readAll(RootPrefix).revision;
+    } catch (core::Error &error) {
+        error.outcome = core::Outcome::Unknown;
+        throw;
+    }
+}
+
 std::int64_t ConfigEditor::accept(std::string_view text, std::optional<std::int64_t> base)
 {
     document::ServiceDocument document = parseDocument(text);
--- a/console/configeditor.h
+++ b/console/configeditor.h
@@ -111,6 +111,7 @@
 
     std::optional<StoredValue> read(std::string_view key);
     RangeResult readAll(std::string_view prefix);
+    std::int64_t revisionAfterRemoval();
     core::Duration remaining(core::TimePoint deadline) const;
     std::optional<StoredDocument> findDocument(std::string_view service);
 
--- a/console/configstore.h
+++ b/console/configstore.h
@@ -26,7 +26,7 @@
 struct SwapResult
 {
     bool swapped = false;
-    std::int64_t revision = 0; ///< Revision of the change; if not swapped, store revision at the time of comparing.
+    std::int64_t revision = 0; ///< Revision of the change, if swapped.
     std::optional<StoredValue> current; ///< If not swapped: the value that differs from the base, or nothing.
 };
 
--- a/console/main_endiveshore.cpp
+++ b/console/main_endiveshore.cpp
@@ -1,5 +1,5 @@
 #include "console/commands.h"
-#include "console/etcdconfigstore.h"
+#include "console/platformconfigstore.h"
 #include "core/settings.h"
 
 #include <iostream>
@@ -74,7 +74,7 @@
 
 console::CommandResult runCommand(const core::Settings &settings, const core::Environment &environment)
 {
-    console::EtcdConfigStore store(toEndpoint(settings.address("store")));
+    console::PlatformConfigStore store(toEndpoint(settings.address("store")));
     console::EditorOptions editorOptions{.operatorName = operatorName(settings, environment),
                                          .operationId = settings.text("operation-id"),
                                          .timeout = settings.milliseconds("timeout-ms")};
--- /dev/null
+++ b/console/platformconfigstore.cpp
@@ -0,0 +1,100 @@
+#include "console/platformconfigstore.h"
+
+#include "core/error.h"
+#include "platform/storeclient.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <exception>
+
+namespace endiveshore::console {
+
+namespace {
+
+/// Runs @p call, a member function of platform::StoreClient, to its end and returns its result.
+template<typename Result, typename... Parameters, typename... Arguments>
+Result runCall(const net::TcpEndpoint &endpoint,
+               core::Duration timeout,
+               net::awaitable<Result> (platform::StoreClient::*call)(Parameters...),
+               Arguments... arguments)
+{
+    net::asio::io_context context;
+    platform::StoreClientOptions options{.endpoints = {endpoint}};
+    options.connectTimeout = std::min(options.connectTimeout, timeout);
+    options.callTimeout = timeout;
+    platform::StoreClient client(context.get_executor(), std::move(options));
+    std::exception_ptr failure;
+    Result result;
+    net::asio::co_spawn(
+        context, (client.*call)(std::move(arguments)...), [&](std::exception_ptr thrown, Result returned) {
+            failure = thrown;
+            result = std::move(returned);
+        });
+    context.run();
+    if (failure) {
+        std::rethrow_exception(failure);
+    }
+    return result;
+}
+
+StoredValue toValue(platform::StoreEntry entry)
+{
+    return {.key = std::move(entry.key), .value = std::move(entry.value), .revision = entry.version};
+}
+
+SwapResult toSwapResult(std::string_view key, platform::SwapResult result)
+{
+    SwapResult converted{.swapped = result.swapped, .revision = result.swapped ? result.version : 0};
+    if (!result.swapped && result.version != 0) {
+        converted.current
+            = StoredValue{.key = std::string(key), .value = std::move(result.currentValue), .revision = result.version};
+    }
+    return converted;
+}
+
+}
+
+PlatformConfigStore::PlatformConfigStore(net::TcpEndpoint endpoint)
+    : endpoint(std::move(endpoint))
+{
+}
+
+std::optional<StoredValue> PlatformConfigStore::get(std::string_view key, core::Duration timeout)
+{
+    std::optional<platform::StoreEntry> entry
+        = runCall(this->endpoint, timeout, &platform::StoreClient::get, std::string(key));
+    return entry ? std::optional<StoredValue>(toValue(std::move(*entry))) : std::nullopt;
+}
+
+RangeResult PlatformConfigStore::range(std::string_view prefix, core::Duration timeout)
+{
+    platform::StoreSnapshot snapshot = runCall(
+        this->endpoint, timeout, &platform::StoreClient::range, std::string(prefix), platform::RangeOptions());
+    RangeResult result{.revision = snapshot.revision};
+    for (platform::StoreEntry &entry : snapshot.entries) {
+        result.values.push_back(toValue(std::move(entry)));
+    }
+    return result;
+}
+
+SwapResult PlatformConfigStore::compareAndSwap(std::string_view key,
+                                               std::int64_t base,
+                                               std::string_view value,
+                                               core::Duration timeout)
+{
+    return toSwapResult(key,
+                        runCall(this->endpoint,
+                                timeout,
+                                &platform::StoreClient::compareAndSwap,
+                                std::string(key),
+                                base,
+                                std::string(value)));
+}
+
+SwapResult PlatformConfigStore::remove(std::string_view key, std::int64_t base, core::Duration timeout)
+{
+    return toSwapResult(key, runCall(this->endpoint, timeout, &platform::StoreClient::remove, std::string(key), base));
+}
+
+}
--- a/console/etcdconfigstore.h
+++ b/console/platformconfigstore.h
@@ -2,16 +2,15 @@
 
 #include "console/configstore.h"
 #include "net/asyncio.h"
-#include "net/httpmessage.h"
 
 namespace endiveshore::console {
 
-/// ConfigStore over the JSON gateway of etcd v3 (`/v3/kv/range`, `/v3/kv/txn`). Each call uses a new connection, so
-/// that a silent one cannot hold up later calls.
-class EtcdConfigStore : public ConfigStore
+/// ConfigStore over platform::StoreClient. Each call uses a new connection, so that a silent one cannot hold up later
+/// calls.
+class PlatformConfigStore : public ConfigStore
 {
 public:
-    explicit EtcdConfigStore(net::TcpEndpoint endpoint);
+    explicit PlatformConfigStore(net::TcpEndpoint endpoint);
 
     std::optional<StoredValue> get(std::string_view key, core::Duration timeout) override;
     RangeResult range(std::string_view prefix, core::Duration timeout) override;
@@ -20,10 +19,6 @@
     SwapResult remove(std::string_view key, std::int64_t base, core::Duration timeout) override;
 
 private:
-    std::string call(net::HttpRequest request, core::Duration timeout);
-    SwapResult
-    transact(std::string_view key, std::int64_t base, std::string_view operationJson, core::Duration timeout);
-
     net::TcpEndpoint endpoint;
 };
 
--- a/tests/console/memorystore.h
+++ b/tests/console/memorystore.h
@@ -85,7 +85,7 @@
         }
         const std::optional<StoredValue> current = this->find(key);
         if ((current ? current->revision : 0) != base) {
-            return {.swapped = false, .revision = this->revision, .current = current};
+            return {.swapped = false, .revision = 0, .current = current};
         }
         const std::int64_t changeRevision = ++this->revision;
         apply(key);
--- a/tests/console/test_etcdconfigstore.cpp
+++ b/tests/console/test_platformconfigstore.cpp
@@ -1,4 +1,4 @@
-#include "console/etcdconfigstore.h"
+#include "console/platformconfigstore.h"
 
 #include "console/daemonpoller.h"
 #include "core/hashing.h"
@@ -138,10 +138,10 @@
 }
 
 // Guards against requests that the store reads differently, and against a lost revision.
-TEST(EtcdConfigStore, ComparesSwapsReadsAndRemoves)
+TEST(PlatformConfigStore, ComparesSwapsReadsAndRemoves)
 {
     Gateway gateway;
-    EtcdConfigStore store(loopback(GatewayPort));
+    PlatformConfigStore store(loopback(GatewayPort));
     const std::string key = "/endiveshore/services/a";
     EXPECT_FALSE(store.get(key, 1s));
     const SwapResult created = store.compareAndSwap(key, 0, "{\"x\":\"\xc3\xb3\"}", 1s);
@@ -169,15 +169,15 @@
 }
 
 // Guards against "not run" for a change that may have taken effect.
-TEST(EtcdConfigStore, FailuresTellWhetherTheChangeMayHaveTakenEffect)
+TEST(PlatformConfigStore, FailuresTellWhetherTheChangeMayHaveTakenEffect)
 {
-    EtcdConfigStore closed(loopback(ClosedPort));
+    PlatformConfigStore closed(loopback(ClosedPort));
     const core::Error refused = errorOf(closed, 1s);
     EXPECT_EQ(refused.code, core::ResultCode::StoreUnavailable);
     EXPECT_EQ(refused.outcome, core::Outcome::NotRun);
 
     Gateway gateway;
-    EtcdConfigStore store(loopback(GatewayPort));
+    PlatformConfigStore store(loopback(GatewayPort));
     gateway.status = 503;
     EXPECT_EQ(errorOf(store, 1s).outcome, core::Outcome::Unknown);
     gateway.status = 404;
--- /dev/null
+++ b/tests/console/test_program.cpp
@@ -0,0 +1,149 @@
+#include "memorystore.h"
+#include "tests/support/childprocess.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/json.hpp>
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+namespace endiveshore::console {
+
+namespace json = boost::json;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint16_t StorePort = 25310;
+
+void waitForPort(std::uint16_t port)
+{
+    boost::asio::io_context context;
+    for (int attempt = 0; attempt < 500; ++attempt) {
+        boost::asio::ip::tcp::socket socket(context);
+        boost::system::error_code connectError;
+        socket.connect({boost::asio::ip::address_v4::loopback(), port}, connectError);
+        if (!connectError) {
+            return;
+        }
+        std::this_thread::sleep_for(10ms);
+    }
+    ADD_FAILURE() << "nothing listens on port " << port;
+}
+
+/// The programs `endiveshore` and `standin-store` together.
+class ProgramTest : public testing::Test
+{
+protected:
+    ProgramTest()
+        : store("standin-store", {"--listen", "127.0.0.1:" + std::to_string(StorePort)})
+    {
+        waitForPort(StorePort);
+    }
+
+    struct Finished
+    {
+        int exitCode = -1;
+        std::string output;
+    };
+
+    static Finished run(const std::string &arguments)
+    {
+        const std::string command = std::string(ENDIVESHORE_BIN_DIR) + "/endiveshore --store 127.0.0.1:"
+            + std::to_string(StorePort) + " --timeout-ms 2000 " + arguments + " 2>&1";
+        Finished finished;
+        FILE *pipe = ::popen(command.c_str(), "r");
+        if (pipe == nullptr) {
+            return finished;
+        }
+        char buffer[4096];
+        while (const std::size_t size = std::fread(buffer, 1, sizeof(buffer), pipe)) {
+            finished.output.append(buffer, size);
+        }
+        finished.exitCode = WEXITSTATUS(::pclose(pipe));
+        return finished;
+    }
+
+    static std::string writeFile(const std::string &text)
+    {
+        std::string path = testing::TempDir() + "endiveshore-program-document.json";
+        std::ofstream(path) << text;
+        return path;
+    }
+
+    tests::ChildProcess store;
+};
+
+}
+
+// Guards against a program whose parts work one by one but not together with the store.
+TEST_F(ProgramTest, AcceptsShowsGrantsRevokesAndWithdraws)
+{
+    const std::string file = writeFile(sampleDocument(5));
+    const Finished accepted = run("--json --operator night accept " + file);
+    ASSERT_EQ(accepted.exitCode, 0) << accepted.output;
+    const std::int64_t revision = json::parse(accepted.output).at("revision").as_int64();
+
+    const Finished raced = run("--json accept " + file);
+    EXPECT_EQ(raced.exitCode, 15);
+    EXPECT_EQ(json::parse(raced.output).at("code"), 503);
+    EXPECT_EQ(json::parse(raced.output).at("revision"), revision);
+
+    const Finished shown = run("--json show rota-db");
+    EXPECT_EQ(json::parse(shown.output).at("revision"), revision) << shown.output;
+    writeFile(shown.output);
+    EXPECT_EQ(run("accept " + file).exitCode, 0);
+
+    const Finished granted = run("--json grant rota-db plaza");
+    ASSERT_EQ(granted.exitCode, 0) << granted.output;
+    const std::string key(json::parse(granted.output).at("key").as_string().c_str());
+    const std::string hash(json::parse(granted.output).at("hash").as_string().c_str());
+    const Finished listed = run("keys rota-db");
+    EXPECT_NE(listed.output.find(hash + " rota-db plaza"), std::string::npos) << listed.output;
+    EXPECT_EQ(listed.output.find(key), std::string::npos);
+    writeFile(key + "\n");
+    EXPECT_EQ(run("revoke - < " + file).exitCode, 0);
+    EXPECT_EQ(run("revoke " + hash).exitCode, 15);
+
+    EXPECT_EQ(run("withdraw rota-db").exitCode, 0);
+    const Finished gone = run("show rota-db");
+    EXPECT_EQ(gone.exitCode, 15);
+    EXPECT_NE(gone.output.find("result 505 not_found"), std::string::npos) << gone.output;
+    std::remove(file.c_str());
+}
+
+// Guards against a command that hangs or claims success while the store is silent or gone.
+TEST_F(ProgramTest, SilentAndStoppedStoresEndWithTheirOutcome)
+{
+    const std::string file = writeFile(sampleDocument(5));
+    this->store.pause();
+    const Finished silent = run("--json accept " + file);
+    EXPECT_EQ(silent.exitCode, 15);
+    EXPECT_EQ(json::parse(silent.output).at("code"), 504) << silent.output;
+    EXPECT_EQ(json::parse(silent.output).at("outcome"), "unknown") << silent.output;
+    EXPECT_NE(silent.output.find("--operation-id"), std::string::npos) << silent.output;
+
+    this->store.kill();
+    const Finished stopped = run("--json accept " + file);
+    EXPECT_EQ(stopped.exitCode, 15);
+    EXPECT_EQ(json::parse(stopped.output).at("outcome"), "not_run") << stopped.output;
+    std::remove(file.c_str());
+}
+
+// Guards against a changed exit code or a socket opened for wrong usage.
+TEST_F(ProgramTest, WrongUsageEndsWithExitCodeTwo)
+{
+    this->store.kill();
+    EXPECT_EQ(run("--wait-ms=1s status").exitCode, 2);
+    EXPECT_EQ(run("--colour status").exitCode, 2);
+    EXPECT_EQ(run("").exitCode, 2);
+    EXPECT_EQ(run("--check").exitCode, 0);
+    EXPECT_EQ(run("--version").exitCode, 0);
+}
+
+}
