Read the revision of a removal from the store's history

Cause: after a lost answer the operator command waited for the revision of the whole store. In a trial with three daemons their revision did not rise when a key outside /endiveshore/ changed, so the command could have ended with a false not_in_force. `status` also took the newest entry as the target and missed daemons that lacked a removal. Change: ConfigStore::removalRevision() finds the removal with a watch from the base revision; `status` compares the daemons with the newest entry and with each other. Conclusion: a removal is waited for at its own revision.

--- a/console/commands.cpp
+++ b/console/commands.cpp
@@ -278,13 +278,13 @@
     std::int64_t revision = 0;
     try {
         revision = this->editor.highestRevision();
-        result.lines.push_back("store at revision " + std::to_string(revision));
-        result.fields["store_revision"] = revision;
+        result.lines.push_back("newest entry of the store at revision " + std::to_string(revision));
+        result.fields["stored_revision"] = revision;
     } catch (const core::Error &error) {
         // The daemons go on without the store, so their states are shown all the same.
         result = failedResult(error);
         result.lines.push_back("store unavailable");
-        result.fields["store_revision"] = nullptr;
+        result.fields["stored_revision"] = nullptr;
     }
     if (this->poller == nullptr) {
         return result;
@@ -294,11 +294,15 @@
         result.lines.push_back(toLine(status));
     }
     result.fields["daemons"] = toJson(statuses);
+    // A removal leaves no entry behind, so only the daemons that know about it show its revision.
+    for (const DaemonStatus &status : statuses) {
+        revision = std::max(revision, status.revision);
+    }
     const std::string late = describeLate(statuses, revision);
     if (!late.empty() && result.code == core::ResultCode::Ok) {
         result.code = core::ResultCode::NotInForce;
         result.outcome = core::resultCodeInfo(result.code).outcome;
-        result.message = "daemons below the store's revision " + std::to_string(revision) + ": " + late;
+        result.message = "not at revision " + std::to_string(revision) + ": " + late;
     }
     return result;
 }
--- a/console/configeditor.cpp
+++ b/console/configeditor.cpp
@@ -147,19 +147,21 @@
         return result.revision;
     }
     if (change.isOwnResult(result.current, possiblyApplied)) {
-        return result.current ? result.current->revision : this->revisionAfterRemoval();
+        return result.current ? result.current->revision : this->removalRevision(change.key, change.base);
     }
     current = std::move(result.current);
     return std::nullopt;
 }
 
-std::int64_t ConfigEditor::revisionAfterRemoval()
+std::int64_t ConfigEditor::removalRevision(std::string_view key, std::int64_t base)
 {
     try {
-        // The revision of a removal whose answer was lost cannot be read back; that of the store is not below it.
-        return this->readAll(RootPrefix).revision;
+        // The revision of the whole store would not do: it also counts keys that no daemon reads, so that no daemon
+        // might ever report it.
+        return this->retry([&](core::Duration timeout) { return this->store.removalRevision(key, base, timeout); });
     } catch (core::Error &error) {
-        error.outcome = core::Outcome::Unknown;
+        error.outcome = core::Outcome::Done;
+        error.message = "the removal took effect, but its revision is not known: " + error.message;
         throw;
     }
 }
--- a/console/configeditor.h
+++ b/console/configeditor.h
@@ -111,7 +111,7 @@
 
     std::optional<StoredValue> read(std::string_view key);
     RangeResult readAll(std::string_view prefix);
-    std::int64_t revisionAfterRemoval();
+    std::int64_t removalRevision(std::string_view key, std::int64_t base);
     core::Duration remaining(core::TimePoint deadline) const;
     std::optional<StoredDocument> findDocument(std::string_view service);
 
--- a/console/configstore.h
+++ b/console/configstore.h
@@ -50,6 +50,10 @@
 
     /// Removes @p key if its revision is @p base.
     virtual SwapResult remove(std::string_view key, std::int64_t base, core::Duration timeout) = 0;
+
+    /// Revision at which @p key was removed after revision @p after. Also throws if the store's history does not show
+    /// it any more.
+    virtual std::int64_t removalRevision(std::string_view key, std::int64_t after, core::Duration timeout) = 0;
 };
 
 }
--- a/console/platformconfigstore.cpp
+++ b/console/platformconfigstore.cpp
@@ -97,4 +97,26 @@
     return toSwapResult(key, runCall(this->endpoint, timeout, &platform::StoreClient::remove, std::string(key), base));
 }
 
+std::int64_t PlatformConfigStore::removalRevision(std::string_view key, std::int64_t after, core::Duration timeout)
+{
+    std::int64_t revision = 0;
+    platform::WatchOptions options{.prefix = std::string(key), .fromRevision = after + 1, .silenceDeadline = timeout};
+    platform::WatchCallback onEvents = [&revision, key](const std::vector<platform::StoreEvent> &events, std::int64_t) {
+        for (const platform::StoreEvent &event : events) {
+            if (event.deleted && event.key == key && revision == 0) {
+                revision = event.version;
+            }
+        }
+        // A call without events says that all changes so far have been delivered.
+        return revision == 0 && !events.empty();
+    };
+    runCall(this->endpoint, timeout, &platform::StoreClient::watch, std::move(options), std::move(onEvents));
+    if (revision == 0) {
+        core::Error error(core::ResultCode::StoreUnavailable, "store: the history of a key could not be read");
+        error.outcome = core::Outcome::NotRun;
+        throw error;
+    }
+    return revision;
+}
+
 }
--- a/console/platformconfigstore.h
+++ b/console/platformconfigstore.h
@@ -17,6 +17,7 @@
     SwapResult
     compareAndSwap(std::string_view key, std::int64_t base, std::string_view value, core::Duration timeout) override;
     SwapResult remove(std::string_view key, std::int64_t base, core::Duration timeout) override;
+    std::int64_t removalRevision(std::string_view key, std::int64_t after, core::Duration timeout) override;
 
 private:
     net::TcpEndpoint endpoint;
--- a/core/settings.h
+++ b/core/settings.h
@@ -69,6 +69,7 @@
 class Settings
 {
 public:
+    /// @p arguments are those of main(), the name of the program included.
     /// Reads flags first, then environment variables, then defaults. An empty environment variable counts as absent.
     /// Variables of other programs are ignored, because several programs share an environment.
     /// Throws core::Error(InvalidSetting) that names the setting, the value unless it is secret, and what is accepted.
--- a/tests/console/memorystore.h
+++ b/tests/console/memorystore.h
@@ -46,11 +46,24 @@
 
     SwapResult remove(std::string_view key, std::int64_t base, core::Duration) override
     {
-        return this->change(
-            std::string(key), base, [&](const std::string &changedKey) { this->values.erase(changedKey); });
+        return this->change(std::string(key), base, [&](const std::string &changedKey) {
+            this->values.erase(changedKey);
+            this->removals[changedKey] = this->revision;
+        });
+    }
+
+    std::int64_t removalRevision(std::string_view key, std::int64_t after, core::Duration) override
+    {
+        this->startCall();
+        const auto found = this->removals.find(std::string(key));
+        if (found == this->removals.end() || found->second <= after) {
+            throw unavailable(core::Outcome::NotRun);
+        }
+        return found->second;
     }
 
     std::map<std::string, StoredValue> values;
+    std::map<std::string, std::int64_t> removals; ///< Revision of the last removal by key.
     std::int64_t revision = 10;
 
 private:
--- a/tests/console/test_commands.cpp
+++ b/tests/console/test_commands.cpp
@@ -30,7 +30,7 @@
                                 .dataCentre = "Oviedo",
                                 .revision = this->revision};
             if (index == this->lateDaemon && this->rounds < this->roundsUntilReady) {
-                status.revision = this->revision - 100;
+                status.revision = this->revision - this->lateBy;
             }
             if (index == this->silentDaemon) {
                 status.reachable = false;
@@ -44,6 +44,7 @@
     int daemons = 3;
     std::int64_t revision = 100;
     int lateDaemon = -1;
+    std::int64_t lateBy = 100;
     int silentDaemon = -1;
     int roundsUntilReady = 0;
     int rounds = 0;
@@ -191,9 +192,13 @@
     this->run({"accept", "-"}, sampleDocument(5));
     EXPECT_EQ(this->run({"status"}).code, core::ResultCode::Ok);
 
+    // One daemon lacks a removal, which leaves no entry in the store.
     this->daemons.lateDaemon = 1;
+    this->daemons.lateBy = 1;
     this->daemons.roundsUntilReady = 1000;
-    EXPECT_EQ(this->run({"status"}).code, core::ResultCode::NotInForce);
+    const CommandResult behind = this->run({"status"});
+    EXPECT_EQ(behind.code, core::ResultCode::NotInForce);
+    EXPECT_NE(behind.message.find("127.0.0.1:25101"), std::string::npos) << behind.message;
 
     this->store.refusedCalls = 1'000'000;
     const CommandResult down = this->run({"status"});
--- a/tests/console/test_configeditor.cpp
+++ b/tests/console/test_configeditor.cpp
@@ -169,8 +169,12 @@
     EXPECT_EQ(error.revision, 12);
 
     this->store.lostAnswers = 1;
+    this->store.afterLostAnswer = [this] {
+        // A change that no daemon reads must not raise the revision that the command waits for.
+        this->store.compareAndSwap("/other/key", 0, "x", 1ms);
+    };
     EXPECT_EQ(this->editor.withdraw("rota-db", 12), 13);
-    EXPECT_TRUE(this->store.values.empty());
+    EXPECT_EQ(this->store.values.size(), 1U);
 }
 
 // Guards against a key in the clear in the store, and against grants that nobody can use.
--- a/tests/console/test_program.cpp
+++ b/tests/console/test_program.cpp
@@ -1,3 +1,4 @@
+#include "console/platformconfigstore.h"
 #include "memorystore.h"
 #include "tests/support/childprocess.h"
 
@@ -117,6 +118,20 @@
     std::remove(file.c_str());
 }
 
+// Guards against a wrong revision of a removal whose answer was lost, which is read from the history of the store.
+TEST_F(ProgramTest, RemovalRevisionComesFromTheHistory)
+{
+    PlatformConfigStore client({boost::asio::ip::address_v4::loopback(), StorePort});
+    const SwapResult created = client.compareAndSwap("/endiveshore/services/a", 0, "{}", 1s);
+    const SwapResult longer = client.compareAndSwap("/endiveshore/services/ab", 0, "{}", 1s);
+    client.remove("/endiveshore/services/ab", longer.revision, 1s);
+    const SwapResult removed = client.remove("/endiveshore/services/a", created.revision, 1s);
+    ASSERT_TRUE(removed.swapped);
+    client.compareAndSwap("/other/key", 0, "x", 1s);
+    EXPECT_EQ(client.removalRevision("/endiveshore/services/a", created.revision, 1s), removed.revision);
+    EXPECT_THROW(client.removalRevision("/endiveshore/services/a", removed.revision, 1s), core::Error);
+}
+
 // Guards against a command that hangs or claims success while the store is silent or gone.
 TEST_F(ProgramTest, SilentAndStoppedStoresEndWithTheirOutcome)
 {
