--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -22,6 +22,8 @@
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 
+constexpr std::size_t FirstReadBytes = 4096;
+
 HttpRequest toRequest(http::request<http::string_body> &&message)
 {
     HttpRequest request;
@@ -225,10 +227,11 @@
         if (buffer.size() == 0) {
             // The wait for the first byte has its own limit, so that an idle connection outlives a slow request.
             stream.expires_after(this->options.idleTimeout);
-            auto waited = co_await stream.socket().async_wait(asio::socket_base::wait_read, UseTuple);
-            if (std::get<0>(waited)) {
+            auto [firstError, firstBytes] = co_await stream.async_read_some(buffer.prepare(FirstReadBytes), UseTuple);
+            if (firstError) {
                 break;
             }
+            buffer.commit(firstBytes);
         }
         http::request_parser<http::string_body> parser;
         parser.header_limit(static_cast<std::uint32_t>(this->options.maxHeaderBytes));
--- a/tests/net/test_http.cpp
+++ b/tests/net/test_http.cpp
@@ -21,7 +21,7 @@
 
 const TcpEndpoint TestEndpoint(asio::ip::address_v4::loopback(), 28431);
 
-std::shared_ptr<HttpServer> echoServer(asio::io_context &context)
+std::shared_ptr<HttpServer> echoServer(asio::io_context &context, std::chrono::milliseconds idleTimeout = 60s)
 {
     auto handler = [](HttpRequest request, HttpConnection &) -> awaitable<HttpResponse> {
         if (request.target == "/slow") {
@@ -34,16 +34,17 @@
     };
     HttpServerOptions options;
     options.maxBodyBytes = 1000;
+    options.idleTimeout = idleTimeout;
     auto server = std::make_shared<HttpServer>(handler, options);
     server->listen(context.get_executor(), TestEndpoint);
     return server;
 }
 
 template<typename Body>
-void runWithServer(Body body)
+void runWithServer(Body body, std::chrono::milliseconds idleTimeout = 60s)
 {
     asio::io_context context;
-    std::shared_ptr<HttpServer> server = echoServer(context);
+    std::shared_ptr<HttpServer> server = echoServer(context, idleTimeout);
     std::exception_ptr failure;
     asio::co_spawn(context, body(), [&](std::exception_ptr error) {
         failure = error;
@@ -93,6 +94,24 @@
     });
 }
 
+// Guards against connections of vanished callers that stay open for good.
+TEST(HttpServer, IdleConnectionIsClosed)
+{
+    runWithServer(
+        []() -> awaitable<void> {
+            asio::ip::tcp::socket socket(co_await asio::this_coro::executor);
+            co_await socket.async_connect(TestEndpoint, asio::use_awaitable);
+            std::string answer;
+            boost::system::error_code readError;
+            const auto start = core::Clock::now();
+            co_await asio::async_read(
+                socket, asio::dynamic_buffer(answer), asio::redirect_error(asio::use_awaitable, readError));
+            EXPECT_EQ(readError, asio::error::eof);
+            EXPECT_LT(core::Clock::now() - start, 5s);
+        },
+        100ms);
+}
+
 // Guards against sending a request on a connection that the server has closed, which would leave its outcome unknown.
 TEST(HttpClientConnection, RequestOnAClosedConnectionDoesNotLeave)
 {
