Serve the whole path: callers, homes, promotion, configuration, operators

Cause: the parts existed, but no process served a statement from the caller's socket to a database and back. Conclusion: the thin path stands; rate limits are not wired yet.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -22,10 +22,10 @@
 namespace {
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
-constexpr core::Milliseconds TickInterval {50};
-constexpr core::Milliseconds VmListInterval {1'000};
-constexpr core::Milliseconds PeerControlTimeout {2'000};
-constexpr core::Milliseconds DrainPollInterval {20};
+constexpr core::Milliseconds TickInterval{50};
+constexpr core::Milliseconds VmListInterval{1'000};
+constexpr core::Milliseconds PeerControlTimeout{2'000};
+constexpr core::Milliseconds DrainPollInterval{20};
 
 // Keys of the gossip state.
 constexpr std::string_view PrimaryStatePrefix = "primary/";
@@ -55,7 +55,7 @@
 
 double threadCpuSeconds()
 {
-    rusage usage {};
+    rusage usage{};
     getrusage(RUSAGE_THREAD, &usage);
     const auto seconds = [](const timeval &time) {
         return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) / 1e6;
@@ -84,7 +84,7 @@
 Daemon::Daemon(DaemonSettings daemonSettings)
     : settings(std::move(daemonSettings))
     , log(logOptions(this->settings))
-    , lease(this->settings.id, membership::HomeLeaseOptions {.handoverWait = this->settings.handoverWait})
+    , lease(this->settings.id, membership::HomeLeaseOptions{.handoverWait = this->settings.handoverWait})
     , catalogueBuilder([this](std::string_view key, std::string_view problem) {
         this->log.line("configuration", telemetry::LogLevel::Error).field("key", key).field("problem", problem);
     })
@@ -123,7 +123,9 @@
         }
     });
     this->scheduleTick();
-    this->log.line("start").field("data_centre", this->settings.dataCentre).field("listen", endpointText(this->settings.listen));
+    this->log.line("start")
+        .field("data_centre", this->settings.dataCentre)
+        .field("listen", endpointText(this->settings.listen));
     this->control.run();
     this->traffic->stop();
     return 0;
@@ -133,27 +135,23 @@
 {
     TrafficHooks hooks;
     hooks.homeCheck = [this](std::uint64_t epoch) {
-        const core::TimePoint validUntil {core::Duration(this->leaseValidUntil.load())};
+        const core::TimePoint validUntil{core::Duration(this->leaseValidUntil.load())};
         return epoch == this->homeEpoch.load() && core::Clock::now() < validUntil;
     };
-    hooks.admit = [](std::string, std::string, core::TimePoint) -> net::awaitable<void> {
-        co_return;
-    };
-    hooks.leaving = [this] {
-        return this->leaving.load();
-    };
+    hooks.admit = [](std::string, std::string, core::TimePoint) -> net::awaitable<void> { co_return; };
+    hooks.leaving = [this] { return this->leaving.load(); };
     hooks.finished = [this](core::ResultCode code, core::Outcome outcome, const StatementAnswer *answer) {
         this->metrics.statements(outcome).add();
         if (code != core::ResultCode::Ok) {
             this->metrics.refusals(code).add();
         }
         if (answer != nullptr && !answer->role.empty()) {
-            this->metrics.reads(answer->role == "replica" ? telemetry::ReadSource::Replica : telemetry::ReadSource::Primary).add();
+            this->metrics
+                .reads(answer->role == "replica" ? telemetry::ReadSource::Replica : telemetry::ReadSource::Primary)
+                .add();
         }
     };
-    hooks.queueWait = [this](core::Duration waited) {
-        this->metrics.queueTime().observe(waited);
-    };
+    hooks.queueWait = [this](core::Duration waited) { this->metrics.queueTime().observe(waited); };
     hooks.routeDecision = [this](const StatementRouter::Decision &decision) {
         auto line = this->log.line("route");
         if (!line.isActive()) {
@@ -170,9 +168,7 @@
         this->log.line("placement").field("server", server).field("decision", decision).field("reason", reason);
     };
     hooks.peerRefused = [this](const net::TcpEndpoint &endpoint) {
-        asio::post(this->control, [this, endpoint] {
-            this->gossip->reportRefused(endpoint);
-        });
+        asio::post(this->control, [this, endpoint] { this->gossip->reportRefused(endpoint); });
     };
     return hooks;
 }
@@ -189,18 +185,16 @@
     this->traffic = std::make_unique<TrafficPool>(trafficOptions, this->trafficHooks());
     this->peerFrontend = std::make_unique<PeerFrontend>(this->control.get_executor(), *this->traffic);
     net::PeerClientOptions peerOptions;
-    peerOptions.onRefused = [this](const net::TcpEndpoint &endpoint) {
-        this->gossip->reportRefused(endpoint);
-    };
+    peerOptions.onRefused = [this](const net::TcpEndpoint &endpoint) { this->gossip->reportRefused(endpoint); };
     this->peers = std::make_unique<net::PeerClient>(this->control.get_executor(), peerOptions);
-    this->admin = std::make_shared<net::HttpServer>([this](net::HttpRequest request, net::HttpConnection &) {
-        return this->handleAdmin(std::move(request));
-    });
+    this->admin = std::make_shared<net::HttpServer>(
+        [this](net::HttpRequest request, net::HttpConnection &) { return this->handleAdmin(std::move(request)); });
     if (this->settings.vmList) {
         this->vmList = std::make_unique<platform::VmListClient>(*this->settings.vmList);
     }
     this->createGossip();
     this->createConfiguration();
+    this->createFailover();
     this->registerPeerHandlers();
 }
 
@@ -210,21 +204,16 @@
     storeOptions.endpoints = {this->settings.store};
     this->store = std::make_shared<platform::StoreClient>(this->control.get_executor(), storeOptions);
     ConfigurationCallbacks callbacks;
-    callbacks.isRelay = [this] {
-        return this->isRelay();
-    };
-    callbacks.peers = [this] {
-        return this->livePeers();
-    };
+    callbacks.isRelay = [this] { return this->isRelay(); };
+    callbacks.peers = [this] { return this->livePeers(); };
     callbacks.exchange = [this](std::string memberId, json::object request) {
         return this->exchangeWithPeer(std::move(memberId), "/peer/config", std::move(request));
     };
-    callbacks.revisionRaised = [this](const confsync::EntryStore &entries) {
-        this->rebuildCatalogue(entries);
-    };
+    callbacks.revisionRaised = [this](const confsync::EntryStore &entries) { this->rebuildCatalogue(entries); };
     ConfigurationOptions options;
     options.seed = core::stableHash(this->settings.id);
-    this->configuration = std::make_shared<ConfigurationService>(this->control.get_executor(), this->store, options, callbacks);
+    this->configuration
+        = std::make_shared<ConfigurationService>(this->control.get_executor(), this->store, options, callbacks);
 }
 
 void Daemon::createGossip()
@@ -239,20 +228,47 @@
     options.gossip.seeds = endpointTexts(this->settings.seeds);
     options.listen = net::parseUdpEndpoint(endpointText(this->settings.peerListen));
     GossipCallbacks callbacks;
-    callbacks.onMember = [this](const membership::MemberEvent &event) {
-        this->onMember(event);
-    };
+    callbacks.onMember = [this](const membership::MemberEvent &event) { this->onMember(event); };
     callbacks.onRevision = [this](const membership::RevisionRise &rise) {
         this->configuration->noticeRevision(rise.memberId, static_cast<std::int64_t>(rise.revision));
     };
-    callbacks.onState = [this](const membership::StateRise &rise) {
-        this->onState(rise);
-    };
+    callbacks.onState = [this](const membership::StateRise &rise) { this->onState(rise); };
     this->gossip = std::make_shared<GossipService>(this->control.get_executor(), options, callbacks);
 }
 
+void Daemon::createFailover()
+{
+    FailoverCallbacks callbacks;
+    callbacks.askPeer = [this](std::string memberId, json::object request) {
+        return this->exchangeWithPeer(std::move(memberId), "/peer/suspect", std::move(request));
+    };
+    callbacks.primaryChanged
+        = [this](const std::string &group, std::int64_t term, const std::string &server, bool spread) {
+              this->onPrimaryChanged(group, term, server, spread);
+          };
+    callbacks.statusChanged = [this](const GroupStatus &status) {
+        this->metrics.term(status.database).set(static_cast<double>(status.term));
+        for (const MonitoredServer &server : status.servers) {
+            if (server.answered && server.report.primary) {
+                this->metrics.position(status.database).set(static_cast<double>(server.report.position));
+            }
+        }
+    };
+    callbacks.decided = [this](const std::string &group, const failover::LogDecision &decision) {
+        this->log.line("failover")
+            .field("database", group)
+            .field("decision", decision.decision)
+            .field("reason", decision.reason)
+            .field("passed_over", decision.alternatives);
+    };
+    this->failover = std::make_unique<FailoverService>(
+        this->control.get_executor(), this->settings.id, this->settings.dataCentre, callbacks);
+}
+
 void Daemon::registerPeerHandlers()
 {
+    this->peerFrontend->addHandler(
+        "/peer/suspect", [this](json::object request) { return this->failover->handleSuspect(std::move(request)); });
     this->peerFrontend->addHandler("/peer/config", [this](json::object request) -> net::awaitable<json::object> {
         co_return this->configuration->answer(request);
     });
@@ -276,7 +292,9 @@
     if (this->lease.heartbeat(now)) {
         // The new epoch is visible before the lease is renewed below, so no traffic thread can use the old homes.
         this->state.homeEpoch = ++this->homeEpoch;
-        this->log.line("placement", telemetry::LogLevel::Warning).field("decision", "drop_all_homes").field("reason", "the control thread was paused");
+        this->log.line("placement", telemetry::LogLevel::Warning)
+            .field("decision", "drop_all_homes")
+            .field("reason", "the control thread was paused");
         this->markChanged();
     }
     if (this->lease.confirm(now, this->gossip->membership().lastConfirmation())) {
@@ -306,6 +324,79 @@
     this->state.members = this->gossip->membership().members();
     this->view = buildFleetView(this->state, this->lease, core::Clock::now());
     this->traffic->publish(this->view);
+    this->updateMonitoredGroups();
+}
+
+void Daemon::onPrimaryChanged(const std::string &group, std::int64_t term, const std::string &server, bool spread)
+{
+    GroupView &known = this->state.primaries[group];
+    if (static_cast<std::uint64_t>(term) > known.term) {
+        known = {.term = static_cast<std::uint64_t>(term), .primaryServer = server};
+        this->log.line("placement")
+            .field("database", group)
+            .field("decision", "primary")
+            .field("server", server)
+            .field("term", term)
+            .field("reason", spread ? "own failover decision" : "announced");
+        this->markChanged();
+    }
+    if (spread) {
+        membership::StateValue value;
+        value.number = term;
+        value.text = server;
+        value.version = term;
+        this->gossip->setState(std::string(PrimaryStatePrefix) + group, value);
+    }
+}
+
+void Daemon::updateMonitoredGroups()
+{
+    if (!this->view->ready) {
+        return;
+    }
+    std::map<std::string, std::string> dataCentres;
+    for (const membership::Member &member : this->state.members) {
+        dataCentres[member.id] = member.dataCentre;
+    }
+    std::set<std::string> monitored;
+    for (const auto &[name, service] : this->view->catalogue->services) {
+        for (const document::Database &database : service->databases) {
+            failover::GroupDescription group{
+                .database = groupKey(name, database.name), .servers = {}, .initialPrimary = database.initialPrimary};
+            std::set<std::string> own;
+            std::map<std::string, failover::PeerHome> others;
+            for (const document::BackendServer &server : database.servers) {
+                group.servers.push_back({.id = server.id, .address = server.address, .dataCentre = server.dataCentre});
+                const auto home = this->view->homes.find(serverKey(name, server.id));
+                if (home == this->view->homes.end()) {
+                    continue;
+                }
+                if (home->second.own) {
+                    own.insert(server.id);
+                    continue;
+                }
+                failover::PeerHome &peer = others[home->second.member];
+                peer.daemon = home->second.member;
+                peer.dataCentre = dataCentres[home->second.member];
+                peer.servers.push_back(server.id);
+            }
+            if (own.empty()) {
+                continue;
+            }
+            std::vector<failover::PeerHome> peerHomes;
+            for (auto &[member, peer] : others) {
+                peerHomes.push_back(std::move(peer));
+            }
+            monitored.insert(group.database);
+            this->failover->setGroup(group, std::move(own), std::move(peerHomes));
+        }
+    }
+    for (const std::string &group : this->monitoredGroups) {
+        if (!monitored.contains(group)) {
+            this->failover->removeGroup(group);
+        }
+    }
+    this->monitoredGroups = std::move(monitored);
 }
 
 void Daemon::rebuildCatalogue(const confsync::EntryStore &entries)
@@ -318,7 +409,9 @@
     this->state.catalogue = this->catalogueBuilder.build(revision, live);
     this->gossip->setConfigRevision(revision, this->isRelay());
     this->metrics.configurationRevision().set(static_cast<double>(revision));
-    this->log.line("configuration").field("revision", revision).field("services", this->state.catalogue->services.size());
+    this->log.line("configuration")
+        .field("revision", revision)
+        .field("services", this->state.catalogue->services.size());
     this->markChanged();
 }
 
@@ -342,7 +435,8 @@
     const std::string_view key = rise.key;
     if (key.starts_with(PrimaryStatePrefix)) {
         const std::string group(key.substr(PrimaryStatePrefix.size()));
-        this->state.primaries[group] = {.term = static_cast<std::uint64_t>(rise.value.number), .primaryServer = rise.value.text};
+        this->failover->announced(group, rise.value.number, rise.value.text);
+        this->onPrimaryChanged(group, rise.value.number, rise.value.text, false);
     } else if (key.starts_with(DrainingStatePrefix)) {
         const std::string member(key.substr(DrainingStatePrefix.size()));
         if (rise.value.number == 0) {
@@ -376,7 +470,8 @@
     this->state.isolated = isolated;
     this->log.line("isolation", isolated ? telemetry::LogLevel::Warning : telemetry::LogLevel::Info)
         .field("isolated", isolated)
-        .field("reason", isolated ? "neither the store nor a majority of members was reached in time" : "contact restored");
+        .field("reason",
+               isolated ? "neither the store nor a majority of members was reached in time" : "contact restored");
     this->markChanged();
 }
 
@@ -401,7 +496,10 @@
                     const std::string key = std::string(LeavingServerStatePrefix) + vm.address;
                     this->gossip->setState(key, value);
                     this->onState({.key = key, .value = value});
-                    this->log.line("placement").field("server", vm.address).field("decision", vm.leaving ? "leave" : "return").field("reason", "VM list");
+                    this->log.line("placement")
+                        .field("server", vm.address)
+                        .field("decision", vm.leaving ? "leave" : "return")
+                        .field("reason", "VM list");
                 }
             } catch (const core::Error &error) {
                 this->log.line("vm_list", telemetry::LogLevel::Warning).field("error", error.message);
@@ -419,7 +517,8 @@
     }
     std::vector<std::string> live;
     for (const membership::Member &member : this->gossip->membership().members()) {
-        if (isLive(member) && member.dataCentre == this->settings.dataCentre && !this->state.draining.contains(member.id)) {
+        if (isLive(member) && member.dataCentre == this->settings.dataCentre
+            && !this->state.draining.contains(member.id)) {
             live.push_back(member.id);
         }
     }
@@ -459,9 +558,7 @@
     }
     net::HttpRequest message = net::jsonRequest(path, request);
     const net::HttpResponse response = co_await this->peers->exchange(endpoint, std::move(message), PeerControlTimeout);
-    json::object answer = core::valueOrThrow([&response] {
-        return core::parseJsonObject(response.body);
-    });
+    json::object answer = core::valueOrThrow([&response] { return core::parseJsonObject(response.body); });
     throwIfError(response.status, answer);
     co_return answer;
 }
@@ -479,10 +576,10 @@
 {
     json::array members;
     for (const membership::Member &member : this->gossip->membership().members()) {
-        members.push_back(json::object {{"id", member.id},
-                                        {"data_centre", member.dataCentre},
-                                        {"state", membership::memberStateName(member.state)},
-                                        {"revision", member.configRevision}});
+        members.push_back(json::object{{"id", member.id},
+                                       {"data_centre", member.dataCentre},
+                                       {"state", membership::memberStateName(member.state)},
+                                       {"revision", member.configRevision}});
     }
     json::object homes;
     for (const auto &[server, home] : this->view->homes) {
@@ -490,7 +587,7 @@
     }
     json::object primaries;
     for (const auto &[group, primary] : this->view->groups) {
-        primaries[group] = json::object {{"term", primary.term}, {"server", primary.primaryServer}};
+        primaries[group] = json::object{{"term", primary.term}, {"server", primary.primaryServer}};
     }
     const net::UdpCounters &counters = this->gossip->counters();
     return {
@@ -537,9 +634,12 @@
     }
     this->peerFrontend->stop();
     this->gossip->leave();
-    this->log.line("shutdown").field("phase", "exit").field("duration_ms", core::toMilliseconds(core::Clock::now() - start));
+    this->log.line("shutdown")
+        .field("phase", "exit")
+        .field("duration_ms", core::toMilliseconds(core::Clock::now() - start));
     this->stopped = true;
     this->configuration->stop();
+    this->failover->stop();
     this->control.stop();
 }
 
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -4,6 +4,7 @@
 #include "daemon/cataloguebuilder.h"
 #include "daemon/configservice.h"
 #include "daemon/daemonsettings.h"
+#include "daemon/failoverservice.h"
 #include "daemon/fleetviewbuilder.h"
 #include "daemon/gossipservice.h"
 #include "daemon/peerfrontend.h"
@@ -41,6 +42,7 @@
     void createServices();
     void createConfiguration();
     void createGossip();
+    void createFailover();
     void registerPeerHandlers();
 
     // Control loop.
@@ -51,13 +53,16 @@
     void rebuildCatalogue(const confsync::EntryStore &entries);
     void onMember(const membership::MemberEvent &event);
     void onState(const membership::StateRise &rise);
+    void onPrimaryChanged(const std::string &group, std::int64_t term, const std::string &server, bool spread);
+    void updateMonitoredGroups();
     void updateIsolation(core::TimePoint now);
     net::awaitable<void> pollVmList();
 
     // Roles derived from the membership.
     bool isRelay() const;
     std::vector<std::string> livePeers() const;
-    net::awaitable<boost::json::object> exchangeWithPeer(std::string memberId, std::string path, boost::json::object request);
+    net::awaitable<boost::json::object>
+    exchangeWithPeer(std::string memberId, std::string path, boost::json::object request);
 
     // Operators and shutdown.
     net::awaitable<net::HttpResponse> handleAdmin(net::HttpRequest request);
@@ -65,7 +70,7 @@
     net::awaitable<void> drain();
 
     DaemonSettings settings;
-    boost::asio::io_context control {1};
+    boost::asio::io_context control{1};
     telemetry::DecisionLog log;
     telemetry::Metrics metrics;
     FleetState state;
@@ -80,12 +85,14 @@
     std::unique_ptr<platform::VmListClient> vmList;
     std::shared_ptr<ConfigurationService> configuration;
     std::shared_ptr<GossipService> gossip;
+    std::unique_ptr<FailoverService> failover;
+    std::set<std::string> monitoredGroups; ///< Groups of which this daemon is home of a server.
     std::shared_ptr<net::HttpServer> admin;
     boost::asio::steady_timer tickTimer;
     boost::asio::signal_set signals;
-    std::atomic<bool> leaving {false};
-    std::atomic<std::uint64_t> homeEpoch {0};
-    std::atomic<core::TimePoint::rep> leaseValidUntil {0}; ///< Read by the traffic threads before each statement.
+    std::atomic<bool> leaving{false};
+    std::atomic<std::uint64_t> homeEpoch{0};
+    std::atomic<core::TimePoint::rep> leaseValidUntil{0}; ///< Read by the traffic threads before each statement.
     bool viewScheduled = false;
     bool stopped = false;
 };
--- a/daemon/main_endiveshored.cpp
+++ b/daemon/main_endiveshored.cpp
@@ -22,7 +22,8 @@
         if (settings.action() == core::SettingsAction::Check || settings.action() == core::SettingsAction::Run) {
             daemon::DaemonSettings::fromSettings(settings);
         }
-        const std::optional<int> answered = core::answerAction(settings, program, daemon::DaemonSettings::table(), std::cout);
+        const std::optional<int> answered
+            = core::answerAction(settings, program, daemon::DaemonSettings::table(), std::cout);
         if (answered) {
             return *answered;
         }
--- a/daemon/serverhome.cpp
+++ b/daemon/serverhome.cpp
@@ -27,7 +27,7 @@
 constexpr core::Milliseconds StatementLimit{2'000};
 // A statement may need this long at the server, so it is not started later than this before its deadline.
 constexpr core::Milliseconds StatementReserve{20};
-constexpr core::Milliseconds ConnectionCheckLimit {500};
+constexpr core::Milliseconds ConnectionCheckLimit{500};
 constexpr core::Milliseconds WaitExchangeMargin{250};
 
 /// Counts a call while it is in scope.
