Replace a leaving primary before its VM goes

Cause: a leaving server got no new work only if it was a replica; a leaving primary would have worked until it died. Change: the group monitors fence the servers that stay, which are a majority, and promote the most advanced of them. Fencing all three was tried first and ruled out: the leaving primary answered first and was then the only server known to hold every write. Keys are checked again after the wait for the rate.

--- a/daemon/callerfrontend.cpp
+++ b/daemon/callerfrontend.cpp
@@ -64,6 +64,8 @@
         throw core::Error(core::ResultCode::MalformedRequest, "statement must be an object");
     }
     co_await this->hooks.admit(context.request.service, context.statement.workspace, context.request.deadline);
+    // The key may have been withdrawn while the request waited for its rate.
+    this->authorize(request, *this->hooks.view(), *context.statement.service, context.statement.route->open);
     AdmittedStatement statement = context.statement;
     const StatementAnswer answer = co_await this->router.run(std::move(statement));
     this->hooks.finished(core::ResultCode::Ok, core::Outcome::Done, &answer);
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -364,9 +364,13 @@
             failover::GroupDescription group{
                 .database = groupKey(name, database.name), .servers = {}, .initialPrimary = database.initialPrimary};
             std::set<std::string> own;
+            std::set<std::string> leavingServers;
             std::map<std::string, failover::PeerHome> others;
             for (const document::BackendServer &server : database.servers) {
                 group.servers.push_back({.id = server.id, .address = server.address, .dataCentre = server.dataCentre});
+                if (this->state.leavingServers.contains(server.address)) {
+                    leavingServers.insert(server.id);
+                }
                 const auto home = this->view->homes.find(serverKey(name, server.id));
                 if (home == this->view->homes.end()) {
                     continue;
@@ -389,6 +393,7 @@
             }
             monitored.insert(group.database);
             this->failover->setGroup(group, std::move(own), std::move(peerHomes));
+            this->failover->setLeaving(group.database, std::move(leavingServers));
         }
     }
     for (const std::string &group : this->monitoredGroups) {
--- a/daemon/failoverservice.cpp
+++ b/daemon/failoverservice.cpp
@@ -375,6 +375,14 @@
     }
 }
 
+void FailoverService::setLeaving(const std::string &database, std::set<std::string> servers)
+{
+    const auto found = this->impl->groups.find(database);
+    if (found != this->impl->groups.end()) {
+        found->second->monitor->setLeaving(std::move(servers));
+    }
+}
+
 void FailoverService::removeGroup(const std::string &database)
 {
     const auto found = this->impl->groups.find(database);
--- a/daemon/failoverservice.h
+++ b/daemon/failoverservice.h
@@ -68,6 +68,9 @@
                   std::set<std::string> ownServers,
                   std::vector<failover::PeerHome> peers);
 
+    /// Sets the servers of a monitored group whose VMs are leaving.
+    void setLeaving(const std::string &database, std::set<std::string> servers);
+
     /// Stops monitoring, after the last home of the group left this daemon. Known primaries are kept.
     void removeGroup(const std::string &database);
 
--- a/daemon/serverhome.cpp
+++ b/daemon/serverhome.cpp
@@ -239,7 +239,8 @@
 
 net::awaitable<StatementAnswer> ServerHome::executeOnce(StatementCall call)
 {
-    if (this->options.server.leaving) {
+    if (this->options.server.leaving && call.term == 0) {
+        // A leaving primary serves until its replacement is promoted, which takes less than a second.
         throw core::Error(core::ResultCode::NoServer, "the server is leaving");
     }
     SlotQueue::Slot slot
--- a/failover/groupmonitor.cpp
+++ b/failover/groupmonitor.cpp
@@ -126,6 +126,7 @@
     Actions actions;
     this->probeDue(now, actions);
     this->checkDisorder(now, actions);
+    this->checkLeaving(now, actions);
     this->tickPhase(now, actions);
     return actions;
 }
@@ -300,6 +301,34 @@
     }
 }
 
+void GroupMonitor::setLeaving(std::set<std::string> servers)
+{
+    this->leavingServers = std::move(servers);
+}
+
+void GroupMonitor::checkLeaving(core::TimePoint now, Actions &actions)
+{
+    if (this->phase != Phase::Watching || !this->leavingServers.contains(this->knownPrimary)) {
+        return;
+    }
+    if (this->leavingServers.size() > this->servers.size() - this->majority()) {
+        // Too few servers stay to hold a majority; a change of primary would gain nothing.
+        return;
+    }
+    this->beginAttempt(Reason::Leaving, true, "the VM of the primary is leaving", now, actions);
+}
+
+bool GroupMonitor::isSpared(const std::string &id) const
+{
+    // The servers that stay are a majority. With only them fenced, the choice cannot fall on a leaving server.
+    return this->attempt.reason == Reason::Leaving && this->leavingServers.contains(id);
+}
+
+bool GroupMonitor::isReplacing() const
+{
+    return this->attempt.reason == Reason::Suspicion || this->attempt.reason == Reason::Leaving;
+}
+
 void GroupMonitor::checkDisorder(core::TimePoint now, Actions &actions)
 {
     if (!this->isDisordered(now)) {
--- a/failover/groupmonitor.h
+++ b/failover/groupmonitor.h
@@ -75,6 +75,9 @@
     /// Sets the servers whose home this daemon is and the other homes of the group.
     void setHomes(std::set<std::string> ownServers, std::vector<PeerHome> peers);
 
+    /// Sets the servers whose VMs are leaving. A leaving primary is replaced without waiting for its failure.
+    void setLeaving(std::set<std::string> servers);
+
     Actions tick(core::TimePoint now);
 
     /// @p newConnection tells whether the connection was opened for the probe, even if that was not asked for.
@@ -117,6 +120,7 @@
 
     enum class Reason {
         Suspicion, ///< The primary does not answer.
+        Leaving, ///< The primary works, but its VM is about to go.
         Disorder, ///< A term above the primary's was granted, and no primary of it is known.
     };
 
@@ -155,6 +159,9 @@
     void probeEnded(Watched &watched, bool newConnection);
     void probeDue(core::TimePoint now, Actions &actions);
     void checkDisorder(core::TimePoint now, Actions &actions);
+    void checkLeaving(core::TimePoint now, Actions &actions);
+    bool isReplacing() const;
+    bool isSpared(const std::string &id) const;
     void learnPrimary(std::int64_t term,
                       const std::string &id,
                       bool spread,
@@ -184,6 +191,7 @@
     MonitorOptions options;
     std::mt19937_64 random;
     std::set<std::string> ownServers;
+    std::set<std::string> leavingServers;
     std::vector<PeerHome> peers;
     std::map<std::string, Watched> servers;
     std::int64_t knownTerm = 1;
--- a/failover/promotion.cpp
+++ b/failover/promotion.cpp
@@ -117,7 +117,7 @@
     this->phaseEnd = now + 2 * this->options.probeTimeout + this->options.jitter;
     for (auto &[id, watched] : this->servers) {
         watched.surveyed = false;
-        if (this->attempt.reason == Reason::Suspicion && id == this->knownPrimary) {
+        if (this->isReplacing() && id == this->knownPrimary) {
             watched.surveyed = true;
             continue;
         }
@@ -131,7 +131,7 @@
     bool pending = false;
     std::int64_t smallestLag = std::numeric_limits<std::int64_t>::max();
     for (const auto &[id, watched] : this->servers) {
-        if (this->attempt.reason == Reason::Suspicion && id == this->knownPrimary) {
+        if (this->isReplacing() && id == this->knownPrimary) {
             continue;
         }
         pending = pending || !watched.surveyed;
@@ -177,6 +177,9 @@
                     .reason = "a majority of the servers answers",
                     .alternatives = "primary " + this->knownPrimary + " in term " + std::to_string(this->knownTerm)});
     for (const auto &[id, watched] : this->servers) {
+        if (this->isSpared(id)) {
+            continue;
+        }
         actions.push_back(FenceServer{.server = id, .term = this->attempt.term, .owner = this->owner});
     }
 }
@@ -221,7 +224,7 @@
     }
     this->attempt.resendAt = now + this->options.resendAfter;
     for (const auto &[id, watched] : this->servers) {
-        if (!this->attempt.granted.contains(id) && !this->attempt.refused.contains(id)) {
+        if (!this->isSpared(id) && !this->attempt.granted.contains(id) && !this->attempt.refused.contains(id)) {
             actions.push_back(FenceServer{.server = id, .term = this->attempt.term, .owner = this->owner});
         }
     }
@@ -230,7 +233,7 @@
 void GroupMonitor::beginPromoting(core::TimePoint now, Actions &actions)
 {
     // Any majority of fenced servers holds each acknowledged entry, so a suspected primary is left out if it can be.
-    const bool suspected = this->attempt.reason == Reason::Suspicion;
+    const bool suspected = this->isReplacing();
     const bool leaveOut = suspected && this->attempt.granted.contains(this->knownPrimary)
         && this->attempt.granted.size() > this->majority();
     std::string alternatives;
@@ -309,6 +312,10 @@
             this->cancel("the group has a valid primary again", actions);
             return;
         }
+        if (this->attempt.reason == Reason::Leaving && !this->leavingServers.contains(this->knownPrimary)) {
+            this->cancel("the primary is no longer leaving", actions);
+            return;
+        }
         this->beginSurvey(now, actions);
         return;
     case Phase::Surveying:
--- a/tests/failover/test_groupsimulation.cpp
+++ b/tests/failover/test_groupsimulation.cpp
@@ -682,6 +682,26 @@
     }
 }
 
+// Guards against a primary that keeps new work although its VM is leaving, and against a loss of writes in the change.
+TEST(GroupMonitor, LeavingPrimaryIsReplaced)
+{
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        GroupSimulation simulation(seed);
+        simulation.run(2s);
+        const std::string leaving = simulation.primary();
+        for (auto &[name, home] : simulation.homes) {
+            home.monitor->setLeaving({leaving});
+        }
+        EXPECT_TRUE(simulation.runUntil(3s, [&simulation, &leaving] {
+            return simulation.isWritable() && simulation.primary() != leaving;
+        })) << describe(simulation);
+        simulation.run(3s);
+        EXPECT_NE(simulation.primary(), leaving) << describe(simulation);
+        simulation.checkAcknowledged();
+        EXPECT_TRUE(simulation.violations.empty()) << describe(simulation);
+    }
+}
+
 // Guards against a group that stays without a primary when the promoter dies between fence and promote.
 TEST(GroupMonitor, FenceWithoutPromotionIsRepaired)
 {
--- a/tools/deployment.cpp
+++ b/tools/deployment.cpp
@@ -215,8 +215,8 @@
 
 const std::string &Deployment::dataCentre(std::size_t index)
 {
-    static const std::array<std::string, 3> Names{"oviedo", "gijon", "santander"};
-    return Names[index % Names.size()];
+    static const std::array<std::string, 3> names{"oviedo", "gijon", "santander"};
+    return names[index % names.size()];
 }
 
 ChildProcess &Deployment::daemon(std::size_t index)
