--- /dev/null
+++ b/tests/process/test_failover.cpp
@@ -0,0 +1,180 @@
+#include "faulttest.h"
+
+#include "tools/blockinghttp.h"
+
+#include <algorithm>
+#include <csignal>
+
+namespace endiveshore::tests {
+
+namespace json = boost::json;
+using tools::Deployment;
+using tools::HistoryEvent;
+
+namespace {
+
+constexpr std::size_t WritesBeforeFault = 20;
+constexpr std::size_t WritesAfterChange = 30;
+constexpr std::chrono::milliseconds StartLimit{10'000};
+constexpr std::chrono::milliseconds RecoveryLimit{10'000};
+
+/// A fault of the primary of the first database.
+struct PrimaryFault
+{
+    std::string name;
+    int signal = 0; ///< Sent to the primary, if not 0.
+    std::string cut; ///< Applied to the connections to the primary, if not empty.
+    bool storeDown = false;
+    bool replicasLag = false;
+};
+
+void PrintTo(const PrimaryFault &fault, std::ostream *stream)
+{
+    *stream << fault.name;
+}
+
+}
+
+class PrimaryFaultTest : public FaultTest, public ::testing::WithParamInterface<PrimaryFault>
+{
+protected:
+    void apply(const PrimaryFault &fault, std::size_t server)
+    {
+        if (fault.storeDown) {
+            tools::postJson(this->deployment->storePort(), "/standin/control", json::object{{"down", true}});
+        }
+        if (fault.signal != 0) {
+            this->deployment->server(0, server).sendSignal(fault.signal);
+        }
+        if (!fault.cut.empty()) {
+            this->deployment->setServerFault(0, server, json::object{{"cut", fault.cut}});
+        }
+    }
+
+    void heal(const PrimaryFault &fault, std::size_t server)
+    {
+        if (fault.signal == SIGSTOP) {
+            this->deployment->server(0, server).sendSignal(SIGCONT);
+        }
+        if (!fault.cut.empty()) {
+            this->deployment->setServerFault(0, server, json::object{{"cut", "none"}});
+        }
+        if (fault.storeDown) {
+            tools::postJson(this->deployment->storePort(), "/standin/control", json::object{{"down", false}});
+        }
+    }
+
+    void lagReplicas()
+    {
+        const auto [primaryServer, term] = this->primary(0);
+        int replica = 0;
+        for (std::size_t server = 0; server < ServerCount; ++server) {
+            if (server == primaryServer) {
+                continue;
+            }
+            // The replicas differ, so that the choice of the new primary matters.
+            tools::postJson(this->deployment->databasePort(0, server),
+                            "/control",
+                            json::object{{"apply_delay_ms", 400}, {"replication_delay_ms", replica++ == 0 ? 300 : 20}});
+        }
+    }
+};
+
+/// Requirements 1, 2, 3, 9 and 10 and the gap of a failover: sessions that roam between the daemons while the primary
+/// of one database fails. Guards against a primary that acknowledges after its replacement, a chosen server without an
+/// acknowledged write, a repeated write, and reads behind the session.
+TEST_P(PrimaryFaultTest, KeepsSessionsAndWrites)
+{
+    const PrimaryFault &fault = this->GetParam();
+    this->startDeployment();
+    const std::string database = this->deployment->databaseName(0);
+    if (fault.replicasLag) {
+        this->lagReplicas();
+    }
+    RunningWorkload load(this->roamingLoad());
+    ASSERT_TRUE(Deployment::waitUntil([&] { return load.acknowledged(database) >= WritesBeforeFault; }, StartLimit));
+    const auto [server, term] = this->primary(0);
+
+    const std::int64_t faultUs = load.nowUs();
+    this->apply(fault, server);
+    EXPECT_TRUE(Deployment::waitUntil([&, oldTerm = term] { return load.acknowledged(database, faultUs, oldTerm + 1) > 0; },
+                                      FailoverBound))
+        << "no write was acknowledged in a later term";
+    EXPECT_TRUE(Deployment::waitUntil([&] { return load.acknowledged(database, faultUs) >= WritesAfterChange; },
+                                      RecoveryLimit));
+    const std::int64_t healUs = load.nowUs();
+    this->heal(fault, server);
+    // The old primary is back while the load goes on; its late answers must do no harm.
+    EXPECT_TRUE(Deployment::waitUntil([&] { return load.acknowledged(database, healUs) >= WritesAfterChange; },
+                                      RecoveryLimit));
+
+    const std::vector<HistoryEvent> history = load.finish();
+    const std::chrono::milliseconds gap = longestGap(history, database);
+    this->RecordProperty("gap_ms", static_cast<int>(gap.count()));
+    std::cout << fault.name << ": " << history.size() << " requests, gap " << gap.count() << " ms\n";
+    EXPECT_LT(gap, FailoverBound);
+    this->expectValid(history, load.keys());
+}
+
+INSTANTIATE_TEST_SUITE_P(Failover,
+                         PrimaryFaultTest,
+                         ::testing::Values(PrimaryFault{.name = "Killed", .signal = SIGKILL},
+                                           PrimaryFault{.name = "Paused", .signal = SIGSTOP},
+                                           PrimaryFault{.name = "CutBothWays", .cut = "both"},
+                                           PrimaryFault{.name = "CutToPrimary", .cut = "to_target"},
+                                           PrimaryFault{.name = "CutFromPrimary", .cut = "from_target"},
+                                           PrimaryFault{.name = "PausedStoreDown", .signal = SIGSTOP, .storeDown = true},
+                                           PrimaryFault{
+                                               .name = "KilledReplicasLag", .signal = SIGKILL, .replicasLag = true}),
+                         [](const auto &info) { return info.param.name; });
+
+/// Requirements 1, 3, 9 and 10: daemons die in the middle of transactions. Guards against a transaction that is visible
+/// in part, or that was reported as not run and is visible.
+TEST_F(FaultTest, DaemonsKilledDuringTransactions)
+{
+    this->startDeployment();
+    tools::WorkloadOptions options = this->roamingLoad();
+    options.transactionShare = 0.5;
+    options.writeShare = 0.2;
+    RunningWorkload load(options);
+    const auto allAcknowledged = [&](std::int64_t sinceUs, std::size_t count) {
+        for (std::size_t database = 0; database < DatabaseCount; ++database) {
+            if (load.acknowledged(this->deployment->databaseName(database), sinceUs) < count) {
+                return false;
+            }
+        }
+        return true;
+    };
+    ASSERT_TRUE(Deployment::waitUntil([&] { return allAcknowledged(0, WritesBeforeFault); }, StartLimit));
+    // Homes of primaries hold the connections of the transactions.
+    std::size_t observer = 6;
+    for (std::size_t database = 0; database < 2; ++database) {
+        std::optional<std::size_t> home;
+        ASSERT_TRUE(Deployment::waitUntil(
+            [&] {
+                home = this->homeOf(database, this->primary(database).first, observer);
+                return home.has_value();
+            },
+            RecoveryLimit));
+        const std::int64_t faultUs = load.nowUs();
+        this->deployment->daemon(*home).sendSignal(SIGKILL);
+        EXPECT_TRUE(Deployment::waitUntil([&] { return allAcknowledged(faultUs, WritesAfterChange); }, RecoveryLimit));
+        this->deployment->daemon(*home).restart();
+        // The restarted daemon knows no homes at first.
+        observer = (*home + 1) % this->deployment->daemonCount();
+    }
+    const std::vector<HistoryEvent> history = load.finish();
+    for (std::size_t database = 0; database < DatabaseCount; ++database) {
+        const std::chrono::milliseconds gap = longestGap(history, this->deployment->databaseName(database));
+        std::cout << "database " << database << ": gap " << gap.count() << " ms\n";
+        EXPECT_LT(gap, FailoverBound);
+    }
+    const auto committed = std::count_if(history.begin(), history.end(), [](const HistoryEvent &event) {
+        return event.kind == tools::EventKind::Transaction && event.outcome == tools::EventOutcome::Done;
+    });
+    EXPECT_GT(committed, static_cast<std::ptrdiff_t>(WritesAfterChange));
+    this->expectValid(history, load.keys());
+    this->expectCleanLedgers();
+}
+
+}
