Let a former home release its server to the new one

Cause: whenever a daemon joined or left, a server's new home waited 1.5 s before its first statement although the former home was alive and idle. Change: a former home ends its work, aborts transactions that are open after 1.2 s, and tells the new home, which then acts at once. A release covers only the direct predecessor, and one that arrives early counts for half the wait. Conclusion: planned moves no longer stall a server.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -167,6 +167,9 @@
     hooks.homeDecision = [this](const std::string &server, std::string_view decision, std::string_view reason) {
         this->log.line("placement").field("server", server).field("decision", decision).field("reason", reason);
     };
+    hooks.homeReleased = [this](const std::string &server) {
+        asio::co_spawn(this->control, this->releaseServer(server), asio::detached);
+    };
     hooks.peerRefused = [this](const net::TcpEndpoint &endpoint) {
         asio::post(this->control, [this, endpoint] { this->gossip->reportRefused(endpoint); });
     };
@@ -267,6 +270,12 @@
 
 void Daemon::registerPeerHandlers()
 {
+    this->peerFrontend->addHandler("/peer/release", [this](json::object request) -> net::awaitable<json::object> {
+        this->lease.release(
+            core::Clock::now(), core::jsonString(request, "server"), core::jsonString(request, "member"));
+        this->markChanged();
+        co_return json::object();
+    });
     this->peerFrontend->addHandler(
         "/peer/suspect", [this](json::object request) { return this->failover->handleSuspect(std::move(request)); });
     this->peerFrontend->addHandler("/peer/config", [this](json::object request) -> net::awaitable<json::object> {
@@ -349,6 +358,32 @@
     }
 }
 
+net::awaitable<void> Daemon::releaseServer(std::string serverKey)
+{
+    const auto home = this->view->homes.find(serverKey);
+    if (home == this->view->homes.end() || home->second.own) {
+        co_return;
+    }
+    const std::string newHome = home->second.member;
+    json::object request;
+    request["server"] = serverKey;
+    request["member"] = this->settings.id;
+    try {
+        co_await this->exchangeWithPeer(newHome, "/peer/release", std::move(request));
+        this->log.line("placement")
+            .field("server", serverKey)
+            .field("decision", "released")
+            .field("reason", "work ended")
+            .field("to", newHome);
+    } catch (const core::Error &error) {
+        // The new home then waits for the end of the handover time.
+        this->log.line("placement", telemetry::LogLevel::Warning)
+            .field("server", serverKey)
+            .field("decision", "release_lost")
+            .field("reason", error.message);
+    }
+}
+
 void Daemon::updateMonitoredGroups()
 {
     if (!this->view->ready) {
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -55,6 +55,7 @@
     void onState(const membership::StateRise &rise);
     void onPrimaryChanged(const std::string &group, std::int64_t term, const std::string &server, bool spread);
     void updateMonitoredGroups();
+    net::awaitable<void> releaseServer(std::string serverKey);
     void updateIsolation(core::TimePoint now);
     net::awaitable<void> pollVmList();
 
--- a/daemon/homeregistry.cpp
+++ b/daemon/homeregistry.cpp
@@ -1,34 +1,46 @@
 #include "daemon/homeregistry.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <algorithm>
 
 namespace endiveshore::daemon {
 
+namespace asio = boost::asio;
+
+namespace {
+
+// A new home that got no release waits 1.5 s. The former home must have ended by then, so transactions that are still
+// open at this limit are aborted.
+constexpr core::Milliseconds RetireLimit{1'200};
+constexpr core::Milliseconds RetirePollInterval{5};
+
+}
+
 HomeRegistry::HomeRegistry(net::Executor executor,
                            std::string memberId,
                            Ownership ownership,
                            HomeCheck homeCheck,
                            SlotQueue::WaitObserver observer,
-                           DecisionSink sink)
+                           DecisionSink sink,
+                           ReleaseSink releaseSink)
     : executor(std::move(executor))
     , memberId(std::move(memberId))
     , ownership(std::move(ownership))
     , homeCheck(std::move(homeCheck))
     , observer(std::move(observer))
     , sink(std::move(sink))
+    , releaseSink(std::move(releaseSink))
 {
 }
 
 void HomeRegistry::setView(std::shared_ptr<const FleetView> newView)
 {
     this->view = std::move(newView);
-    std::erase_if(this->closing, [](const std::shared_ptr<ServerHome> &home) {
-        if (home->activity() > 0) {
-            return false;
-        }
-        home->close();
-        return true;
-    });
     std::erase_if(this->owned, [this](const auto &item) {
         const auto home = this->view->homes.find(item.first);
         if (home != this->view->homes.end() && home->second.own && home->second.actsFrom
@@ -39,6 +51,7 @@
                    "release_home",
                    home == this->view->homes.end() ? "server removed" : "another daemon is the home");
         this->closing.push_back(item.second);
+        asio::co_spawn(this->executor, this->retire(item.first, item.second), asio::detached);
         return true;
     });
     for (const auto &[key, home] : this->view->homes) {
@@ -63,6 +76,22 @@
     }
 }
 
+net::awaitable<void> HomeRegistry::retire(std::string serverKey, std::shared_ptr<ServerHome> home)
+{
+    const core::TimePoint end = core::Clock::now() + RetireLimit;
+    asio::steady_timer timer(this->executor);
+    while (home->activity() > 0 && core::Clock::now() < end) {
+        timer.expires_after(RetirePollInterval);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    const bool drained = home->activity() == 0;
+    home->close();
+    std::erase(this->closing, home);
+    if (drained) {
+        this->releaseSink(serverKey);
+    }
+}
+
 net::awaitable<StatementAnswer> HomeRegistry::execute(StatementCall call)
 {
     const std::shared_ptr<ServerHome> home = this->homeFor(call, core::Outcome::NotRun);
--- a/daemon/homeregistry.h
+++ b/daemon/homeregistry.h
@@ -24,12 +24,16 @@
     using DecisionSink
         = std::function<void(const std::string &serverKey, std::string_view decision, std::string_view reason)>;
 
+    /// Called when a former home has ended its work, so that the new home need not wait.
+    using ReleaseSink = std::function<void(const std::string &serverKey)>;
+
     HomeRegistry(net::Executor executor,
                  std::string memberId,
                  Ownership ownership,
                  HomeCheck homeCheck,
                  SlotQueue::WaitObserver observer,
-                 DecisionSink sink);
+                 DecisionSink sink,
+                 ReleaseSink releaseSink);
 
     void setView(std::shared_ptr<const FleetView> view);
 
@@ -42,6 +46,7 @@
     const std::unordered_map<std::string, std::shared_ptr<ServerHome>> &homes() const;
 
 private:
+    net::awaitable<void> retire(std::string serverKey, std::shared_ptr<ServerHome> home);
     std::shared_ptr<ServerHome> homeFor(const StatementCall &call, core::Outcome unknownOutcome) const;
     bool isHome(const std::string &serverKey) const;
 
@@ -51,6 +56,7 @@
     HomeCheck homeCheck;
     SlotQueue::WaitObserver observer;
     DecisionSink sink;
+    ReleaseSink releaseSink;
     std::shared_ptr<const FleetView> view;
     std::unordered_map<std::string, std::shared_ptr<ServerHome>> owned;
     std::vector<std::shared_ptr<ServerHome>> closing; ///< Former homes with calls or transactions left.
--- a/daemon/serverhome.cpp
+++ b/daemon/serverhome.cpp
@@ -231,6 +231,11 @@
 void ServerHome::close()
 {
     this->closed = true;
+    for (const auto &[id, transaction] : this->transactions) {
+        // The server aborts a transaction whose connection closes.
+        transaction->lease.client().close();
+    }
+    this->transactions.clear();
     if (this->tracker) {
         this->tracker->stop();
     }
--- a/daemon/serverhome.h
+++ b/daemon/serverhome.h
@@ -50,7 +50,7 @@
     const SlotQueue &queue() const;
     backend::ConnectionPoolCounters connectionCounters() const;
 
-    /// Ends waits and closes idle connections.
+    /// Ends waits, aborts open transactions and closes idle connections.
     void close();
 
 private:
--- a/daemon/trafficthread.cpp
+++ b/daemon/trafficthread.cpp
@@ -22,7 +22,8 @@
           [this](const std::string &serverKey) { return &this->pool.owner(serverKey) == this; },
           hooks.homeCheck,
           hooks.queueWait,
-          hooks.homeDecision)
+          hooks.homeDecision,
+          hooks.homeReleased)
     , peers(this->context.get_executor(), net::PeerClientOptions{.onRefused = hooks.peerRefused})
     , homeClient(
           options.memberId,
--- a/daemon/trafficthread.h
+++ b/daemon/trafficthread.h
@@ -37,6 +37,7 @@
     SlotQueue::WaitObserver queueWait;
     StatementRouter::DecisionSink routeDecision;
     HomeRegistry::DecisionSink homeDecision;
+    HomeRegistry::ReleaseSink homeReleased;
     std::function<void(const net::TcpEndpoint &endpoint)> peerRefused;
 };
 
--- a/membership/homelease.cpp
+++ b/membership/homelease.cpp
@@ -42,13 +42,28 @@
     if (!added && entry.home == homeId) {
         return;
     }
-    const bool released = entry.home.empty() || entry.home == this->selfId || this->left.contains(entry.home);
+    const core::TimePoint earlier = entry.notBefore;
+    const auto release = this->releases.find(serverId);
+    const bool released = (release != this->releases.end() && release->second.member == entry.home
+                           && now - release->second.at < this->options.handoverWait / 2)
+        || entry.home.empty() || entry.home == this->selfId || this->left.contains(entry.home);
     if (added ? othersKnown : !released) {
         entry.notBefore = std::max(entry.notBefore, now + this->options.handoverWait);
     }
+    entry.previous = entry.home;
+    entry.earlier = earlier;
     entry.home = homeId;
 }
 
+void HomeLease::release(core::TimePoint now, const std::string &serverId, const std::string &memberId)
+{
+    this->releases[serverId] = {.member = memberId, .at = now};
+    const auto found = this->entries.find(serverId);
+    if (found != this->entries.end() && found->second.home == this->selfId && found->second.previous == memberId) {
+        found->second.notBefore = std::min(found->second.notBefore, found->second.earlier);
+    }
+}
+
 void HomeLease::remove(const std::string &serverId)
 {
     this->entries.erase(serverId);
--- a/membership/homelease.h
+++ b/membership/homelease.h
@@ -37,6 +37,11 @@
     /// Forgets a server that is no longer configured.
     void remove(const std::string &serverId);
 
+    /// The previous home @p memberId has ended its work on @p serverId: no wait is needed. A release that arrives
+    /// before this daemon sees itself as the home counts for a short time only, since the other one may become the home
+    /// again.
+    void release(core::TimePoint now, const std::string &serverId, const std::string &memberId);
+
     /// @p memberId has left and so has released its homes; it is followed without a wait.
     void memberLeft(const std::string &memberId);
 
@@ -57,11 +62,20 @@
     {
         std::string home;
         core::TimePoint notBefore; ///< Statements of earlier homes may run until then.
+        std::string previous; ///< Home before this one.
+        core::TimePoint earlier; ///< Statements of the homes before the previous one may run until then.
+    };
+
+    struct Release
+    {
+        std::string member;
+        core::TimePoint at;
     };
 
     std::string selfId;
     HomeLeaseOptions options;
     std::map<std::string, Entry> entries;
+    std::map<std::string, Release> releases; ///< By server; the latest release of another daemon.
     std::set<std::string> left;
     core::TimePoint lastHeartbeat;
     core::TimePoint resumed;
--- a/tests/membership/test_home.cpp
+++ b/tests/membership/test_home.cpp
@@ -10,6 +10,48 @@
 
 namespace endiveshore::membership {
 
+// Guards against a stall of the handover time when the previous home is alive and has ended its work.
+TEST(HomeLease, ReleasedServerIsUsableAtOnce)
+{
+    const core::TimePoint start = core::TimePoint() + std::chrono::hours(1);
+    HomeLease lease("b");
+    lease.heartbeat(start);
+    lease.assign(start, "server", "a", false);
+    lease.assign(start, "server", "b", true);
+    EXPECT_FALSE(lease.mayAct(start, "server"));
+    lease.release(start, "server", "other");
+    EXPECT_FALSE(lease.mayAct(start, "server"));
+    lease.release(start, "server", "a");
+    EXPECT_TRUE(lease.mayAct(start, "server"));
+}
+
+// Guards against a release by an intermediate home that ends the wait for the home before it.
+TEST(HomeLease, ReleaseDoesNotCoverEarlierHomes)
+{
+    const core::TimePoint start = core::TimePoint() + std::chrono::hours(1);
+    HomeLease lease("b");
+    lease.heartbeat(start);
+    lease.assign(start, "server", "a", false);
+    lease.assign(start, "server", "c", true);
+    lease.assign(start, "server", "b", true);
+    lease.release(start, "server", "c");
+    EXPECT_FALSE(lease.mayAct(start, "server"));
+}
+
+// Guards against acting on an old release after the previous home has taken the server back.
+TEST(HomeLease, EarlyReleaseCountsForAShortTimeOnly)
+{
+    const core::TimePoint start = core::TimePoint() + std::chrono::hours(1);
+    HomeLease lease("b");
+    lease.heartbeat(start);
+    lease.assign(start, "server", "a", false);
+    lease.release(start, "server", "a");
+    const core::TimePoint later = start + std::chrono::milliseconds(900);
+    lease.heartbeat(later);
+    lease.assign(later, "server", "b", true);
+    EXPECT_FALSE(lease.mayAct(later, "server"));
+}
+
 using namespace std::chrono_literals;
 
 namespace {
