Add rate shares: token bucket, allocator, holder and allocator lease

Cause: no workspace may get more than its rate and burst across all daemons in any window, and a static split refuses callers inside the rate. Change: limits::ShareAllocator lends tokens, counts what holders may still spend against the burst and settles by sequence; limits::ShareHolder asks on demand and returns reserves early; limits::EndorsementBook and AllocatorLease give the right to grant to one allocator supported by a majority of members. Membership views alone are not enough: two daemons can both see a majority while the news of a failure spreads. The floor share without an allocator is left out.

--- /dev/null
+++ b/limits/allocatorlease.cpp
@@ -0,0 +1,65 @@
+#include "limits/allocatorlease.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace endiveshore::limits {
+
+EndorsementBook::EndorsementBook(core::Duration period, core::TimePoint startedAt)
+    : period(period)
+    , startedAt(startedAt)
+{
+}
+
+bool EndorsementBook::endorse(std::string_view workspace, std::string_view allocator, core::TimePoint now)
+{
+    if (now < this->startedAt + this->period) {
+        return false;
+    }
+    const auto found = this->endorsements.find(workspace);
+    if (found == this->endorsements.end()) {
+        this->endorsements.emplace(workspace,
+                                   Endorsement{.allocator = std::string(allocator), .until = now + this->period});
+        return true;
+    }
+    Endorsement &current = found->second;
+    if (current.allocator != allocator && now < current.until) {
+        return false;
+    }
+    current.allocator = allocator;
+    current.until = now + this->period;
+    return true;
+}
+
+AllocatorLease::AllocatorLease(core::Duration period)
+    : period(period)
+{
+}
+
+void AllocatorLease::endorsed(std::string_view member, core::TimePoint asked)
+{
+    const auto found = this->askedAt.find(member);
+    if (found == this->askedAt.end()) {
+        this->askedAt.emplace(member, asked);
+        return;
+    }
+    found->second = std::max(found->second, asked);
+}
+
+core::TimePoint AllocatorLease::heldUntil(std::size_t memberCount) const
+{
+    const std::size_t majority = memberCount / 2 + 1;
+    if (this->askedAt.size() < majority) {
+        return core::TimePoint::min();
+    }
+    std::vector<core::TimePoint> times;
+    times.reserve(this->askedAt.size());
+    for (const auto &[member, asked] : this->askedAt) {
+        times.push_back(asked);
+    }
+    const auto decisive = times.begin() + static_cast<std::ptrdiff_t>(majority - 1);
+    std::nth_element(times.begin(), decisive, times.end(), std::greater<>());
+    return *decisive + this->period;
+}
+
+}
--- /dev/null
+++ b/limits/shareholder.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "limits/sharemessage.h"
+
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace endiveshore::limits {
+
+struct ShareHolderOptions
+{
+    std::size_t maximumWaiters = 512; ///< Callers that may wait for tokens at a time.
+    core::Milliseconds reservePeriod{100}; ///< The reserve covers the recent consumption of this period.
+    core::Milliseconds averagingPeriod{500}; ///< Time constant of the consumption average.
+    core::Milliseconds requestTimeout{250}; ///< An unanswered request is given up after this time.
+    core::Milliseconds retryDelay{20}; ///< Pause after a failed request; doubles up to maximumRetryDelay.
+    core::Milliseconds maximumRetryDelay{320};
+};
+
+/// Daemon side of a workspace's rate: spends tokens lent by the allocator and asks for more on demand. Pure.
+class ShareHolder
+{
+public:
+    using WaiterId = std::uint64_t;
+
+    enum class Acquisition {
+        Taken, ///< A token was spent.
+        Waiting, ///< The caller is queued; takeServed() or takeExpired() names it later.
+        Refused, ///< Too many callers wait.
+    };
+
+    /// @p holder identifies the process including its incarnation.
+    ShareHolder(std::string workspace, std::string holder, ShareHolderOptions options = {});
+
+    /// Spends one token or queues the caller @p waiter until @p deadline.
+    Acquisition acquire(WaiterId waiter, core::TimePoint deadline, core::TimePoint now);
+
+    /// Request to send now, if one is due. Starts its timeout; onGrant() or onFailure() ends it.
+    std::optional<ShareRequest> nextRequest(core::TimePoint now);
+
+    /// Takes over a grant for the request under way; any other grant is dropped.
+    void onGrant(const ShareGrant &grant, core::TimePoint now);
+
+    /// The request with @p sequence has failed.
+    void onFailure(std::uint64_t sequence, core::TimePoint now);
+
+    /// Callers that got a token since the last call.
+    std::vector<WaiterId> takeServed();
+
+    /// Callers whose deadline has passed.
+    std::vector<WaiterId> takeExpired(core::TimePoint now);
+
+    /// Next time at which nextRequest() or takeExpired() has something to do, if nothing else happens.
+    std::optional<core::TimePoint> nextWake(core::TimePoint now) const;
+
+    /// Unspent tokens that are still valid.
+    std::int64_t held(core::TimePoint now) const;
+
+    std::size_t waiting() const;
+
+    /// Average consumption in tokens per second.
+    double consumption(core::TimePoint now) const;
+
+private:
+    struct Lot
+    {
+        core::TimePoint expiry;
+        std::int64_t tokens = 0;
+    };
+
+    struct Waiter
+    {
+        WaiterId id = 0;
+        core::TimePoint deadline;
+    };
+
+    struct PendingRequest
+    {
+        std::uint64_t sequence = 0;
+        core::TimePoint sentAt;
+    };
+
+    bool trySpend(core::TimePoint now);
+    void dropExpiredLots(core::TimePoint now);
+    void expireWaiters(core::TimePoint now);
+    void serveWaiters(core::TimePoint now);
+    std::int64_t reserveTarget(core::TimePoint now) const;
+    std::int64_t giveUpExcess(std::int64_t target, core::TimePoint now);
+    void recordFailure(core::TimePoint now);
+
+    std::string workspace;
+    std::string holder;
+    ShareHolderOptions options;
+    std::deque<Lot> lots; ///< Oldest first.
+    std::deque<Waiter> waiters;
+    std::vector<WaiterId> served;
+    std::vector<WaiterId> expired;
+    std::optional<PendingRequest> pending;
+    std::uint64_t sequence = 0;
+    std::uint64_t epoch = 0;
+    core::TimePoint retryAt = core::TimePoint::min();
+    core::TimePoint reserveRetryAt = core::TimePoint::min();
+    core::TimePoint returnedAt = core::TimePoint::min();
+    core::Milliseconds failureDelay{};
+    double spentAverage = 0; ///< Exponentially decayed count of spent tokens.
+    core::TimePoint spentAt;
+};
+
+}
