Settle lost grants and shorten the request timeout of shares

Cause: with 1 % message loss the holder refused 0.12 % inside the rate, because two losses in a row outlast the callers' 500 ms. Change: the timeout follows the round trip (four times, 40 to 250 ms); a request names the last grant accepted, so a lost grant is available again.

--- a/limits/shareallocator.cpp
+++ b/limits/shareallocator.cpp
@@ -171,6 +171,13 @@
 
 void ShareAllocator::settle(Holder &holder, const ShareRequest &request)
 {
+    // The holder accepts no grant of an earlier request any more, so a lost one is available again.
+    const bool lost = holder.lastGrant.granted > 0 && request.accepted < holder.lastSequence;
+    if (lost && !holder.lots.empty()) {
+        this->lent -= holder.lots.back().tokens;
+        this->level += holder.lots.back().tokens;
+        holder.lots.pop_back();
+    }
     double total = 0;
     for (const Lot &lot : holder.lots) {
         total += lot.tokens;
--- a/limits/shareholder.cpp
+++ b/limits/shareholder.cpp
@@ -5,11 +5,16 @@
 
 namespace endiveshore::limits {
 
+namespace {
+
+constexpr int MaximumDoublings = 8;
+
+}
+
 ShareHolder::ShareHolder(std::string workspace, std::string holder, ShareHolderOptions options)
     : workspace(std::move(workspace))
     , holder(std::move(holder))
     , options(options)
-    , failureDelay(options.retryDelay)
 {
 }
 
@@ -28,7 +33,7 @@
 
 std::optional<ShareRequest> ShareHolder::nextRequest(core::TimePoint now)
 {
-    if (this->pending && now >= this->pending->sentAt + this->options.requestTimeout) {
+    if (this->pending && now >= this->pending->sentAt + this->requestTimeout()) {
         this->recordFailure(now);
     }
     if (this->pending || now < this->retryAt) {
@@ -40,6 +45,7 @@
     ShareRequest request{.workspace = this->workspace,
                          .holder = this->holder,
                          .epoch = this->epoch,
+                         .accepted = this->accepted,
                          .needed = static_cast<std::int64_t>(this->waiters.size())};
     if (request.needed > 0 || (unspent * 2 < target && now >= this->reserveRetryAt)) {
         request.reserve = std::max<std::int64_t>(0, target - unspent);
@@ -66,7 +72,10 @@
         return;
     }
     this->pending.reset();
-    this->failureDelay = this->options.retryDelay;
+    this->failures = 0;
+    this->accepted = grant.sequence;
+    this->roundTrip
+        = this->roundTrip == core::Duration::zero() ? now - sentAt : (4 * this->roundTrip + now - sentAt) / 5;
     this->epoch = grant.epoch;
     this->retryAt = now + grant.retryAfter;
     // The allocator may have no reserve to lend; asking again at once would never end.
@@ -107,7 +116,7 @@
         consider(waiter.deadline);
     }
     if (this->pending) {
-        consider(this->pending->sentAt + this->options.requestTimeout);
+        consider(this->pending->sentAt + this->requestTimeout());
     } else if (!this->waiters.empty()) {
         consider(std::max(now, this->retryAt));
     } else if (!this->lots.empty()) {
@@ -207,11 +216,21 @@
     return excess;
 }
 
+core::Duration ShareHolder::requestTimeout() const
+{
+    if (this->roundTrip == core::Duration::zero()) {
+        return this->options.requestTimeout;
+    }
+    // Doubled after each failure, so that a longer way to a new allocator is not taken for loss for ever.
+    const core::Duration expected = std::max<core::Duration>(4 * this->roundTrip, this->options.minimumRequestTimeout);
+    return std::min<core::Duration>(expected * (1 << this->failures), this->options.requestTimeout);
+}
+
 void ShareHolder::recordFailure(core::TimePoint now)
 {
     this->pending.reset();
-    this->retryAt = now + this->failureDelay;
-    this->failureDelay = std::min(2 * this->failureDelay, this->options.maximumRetryDelay);
+    this->retryAt = now + std::min(this->options.retryDelay * (1 << this->failures), this->options.maximumRetryDelay);
+    this->failures = std::min(this->failures + 1, MaximumDoublings);
 }
 
 }
--- a/limits/shareholder.h
+++ b/limits/shareholder.h
@@ -14,7 +14,10 @@
     std::size_t maximumWaiters = 512; ///< Callers that may wait for tokens at a time.
     core::Milliseconds reservePeriod{100}; ///< The reserve covers the recent consumption of this period.
     core::Milliseconds averagingPeriod{500}; ///< Time constant of the consumption average.
-    core::Milliseconds requestTimeout{250}; ///< An unanswered request is given up after this time.
+    /// An unanswered request is given up after four usual round trips, within these bounds. With the upper bound alone,
+    /// two lost messages in a row outlast the patience of callers.
+    core::Milliseconds minimumRequestTimeout{40};
+    core::Milliseconds requestTimeout{250};
     core::Milliseconds retryDelay{20}; ///< Pause after a failed request; doubles up to maximumRetryDelay.
     core::Milliseconds maximumRetryDelay{320};
 };
@@ -88,6 +91,7 @@
     void serveWaiters(core::TimePoint now);
     std::int64_t reserveTarget(core::TimePoint now) const;
     std::int64_t giveUpExcess(std::int64_t target, core::TimePoint now);
+    core::Duration requestTimeout() const;
     void recordFailure(core::TimePoint now);
 
     std::string workspace;
@@ -100,10 +104,12 @@
     std::optional<PendingRequest> pending;
     std::uint64_t sequence = 0;
     std::uint64_t epoch = 0;
+    std::uint64_t accepted = 0; ///< Sequence of the last grant accepted.
     core::TimePoint retryAt = core::TimePoint::min();
     core::TimePoint reserveRetryAt = core::TimePoint::min();
     core::TimePoint returnedAt = core::TimePoint::min();
-    core::Milliseconds failureDelay{};
+    int failures = 0; ///< Failed requests since the last grant.
+    core::Duration roundTrip{}; ///< Average; zero before the first grant.
     double spentAverage = 0; ///< Exponentially decayed count of spent tokens.
     core::TimePoint spentAt;
 };
--- a/limits/sharemessage.h
+++ b/limits/sharemessage.h
@@ -19,6 +19,7 @@
     std::string holder; ///< Identity of the process, including its incarnation.
     std::uint64_t sequence = 0; ///< Grows with each request of the holder for the workspace.
     std::uint64_t epoch = 0; ///< Epoch of the last grant accepted.
+    std::uint64_t accepted = 0; ///< Sequence of the last grant accepted; later grants were lost and stay unused.
     std::int64_t held = 0; ///< Unspent tokens when the request is sent; all other tokens granted before are gone.
     std::int64_t returned = 0; ///< Tokens given up unspent since the last request. Not part of `held`.
     std::int64_t needed = 0; ///< Tokens for callers that wait.
--- a/tests/limits/test_limits.cpp
+++ b/tests/limits/test_limits.cpp
@@ -68,7 +68,12 @@
 
 ShareRequest request(std::uint64_t sequence, std::int64_t needed, std::int64_t held = 0)
 {
-    return {.workspace = "w", .holder = "h", .sequence = sequence, .held = held, .needed = needed};
+    return {.workspace = "w",
+            .holder = "h",
+            .sequence = sequence,
+            .accepted = sequence - 1,
+            .held = held,
+            .needed = needed};
 }
 
 /// Allocator with a lease and a full bucket, ten seconds after the start.
@@ -110,6 +115,7 @@
                                 .holder = "h",
                                 .sequence = static_cast<std::uint64_t>(*count + 1),
                                 .epoch = static_cast<std::uint64_t>(*count),
+                                .accepted = static_cast<std::uint64_t>(*count),
                                 .held = *count,
                                 .returned = *count,
                                 .needed = *count,
@@ -168,6 +174,24 @@
     EXPECT_NEAR(allocator.available(now), 15, 0.01);
 }
 
+// Guards against tokens of a lost grant that stay unused, and against giving them out twice.
+TEST(ShareAllocator, LostGrantIsAvailableAgain)
+{
+    ShareAllocator allocator = readyAllocator({.ratePerSecond = 0.001, .burst = 20});
+    const TimePoint now = Start + 10s;
+    EXPECT_EQ(allocator.handle(request(1, 5), now).granted, 5);
+    EXPECT_EQ(allocator.handle(request(2, 10, 5), now).granted, 10);
+    ShareRequest afterLoss = request(3, 0, 5);
+    afterLoss.accepted = 1;
+    allocator.handle(afterLoss, now);
+    EXPECT_NEAR(allocator.outstanding(now), 5, 0.01);
+    EXPECT_NEAR(allocator.available(now), 15, 0.01);
+    ShareRequest again = request(4, 0, 5);
+    again.accepted = 1;
+    allocator.handle(again, now);
+    EXPECT_NEAR(allocator.available(now), 15, 0.01);
+}
+
 // Guards against refilling while lent tokens are outstanding.
 TEST(ShareAllocator, OutstandingTokensCountAgainstTheBurst)
 {
@@ -187,6 +211,7 @@
     other.holder = "other";
     EXPECT_EQ(allocator.handle(other, now).granted, 10);
     other.sequence = 2;
+    other.accepted = 1;
     other.needed = 0;
     allocator.handle(other, now);
     const ShareGrant empty = allocator.handle(request(1, 5), now);
@@ -194,6 +219,7 @@
     // A quarter of the burst may pass before the next report.
     EXPECT_EQ(empty.retryAfter, 25ms);
     other.sequence = 3;
+    other.accepted = 2;
     other.needed = 5;
     // Five tokens have come in, but they are claimed.
     EXPECT_EQ(allocator.handle(other, now + 50ms).granted, 0);
