Bound the updates sent by gossip

Cause: in trials with 300 members, 10 s after all had started, every member still sent and received 17.5 KB/s of updates that all others knew; the budget for all control is 9 KB/s. Change: a token bucket limits piggybacked updates (1,500 bytes/s, burst 16,000, at least 250 bytes per datagram); an entry received again counts as sent; the queue is ordered instead of sorted at each datagram.

--- a/membership/gossipentries.cpp
+++ b/membership/gossipentries.cpp
@@ -129,6 +129,8 @@
     if (version == currentVersion) {
         if (entry.state > current.member.state) {
             this->changeState(now, current, entry.state);
+        } else if (entry.state == current.member.state) {
+            this->updates.seenElsewhere(UpdateKind::Member, entry.id);
         }
         return;
     }
@@ -225,6 +227,9 @@
 {
     const auto found = this->stateValues.find(key);
     if (found != this->stateValues.end() && !isNewer(value, found->second)) {
+        if (value == found->second) {
+            this->updates.seenElsewhere(UpdateKind::State, key);
+        }
         return false;
     }
     this->stateValues[key] = value;
--- a/membership/gossipmember.cpp
+++ b/membership/gossipmember.cpp
@@ -35,6 +35,7 @@
     : options(std::move(options))
     , ownHash(core::stableHash(this->options.id))
     , random(this->options.seed)
+    , piggybackTokens(this->options.piggybackBurstBytes)
 {
     this->own.id = this->options.id;
     this->own.address = this->options.address;
@@ -60,6 +61,9 @@
     } else if (now - this->lastTick > PauseLimit) {
         this->resumeAfterPause(now);
     }
+    const double elapsed = std::chrono::duration<double>(now - this->lastTick).count();
+    this->piggybackTokens = std::min(this->options.piggybackBurstBytes,
+                                     this->piggybackTokens + elapsed * this->options.piggybackBytesPerSecond);
     this->lastTick = now;
     if (this->silent) {
         return this->takeOutput();
@@ -372,7 +376,12 @@
     if (receiver != this->known.end() && receiver->second.member.state != MemberState::Alive) {
         writer.addMember(receiver->second.member);
     }
-    this->updates.drain(this->maxSent(), [this, &writer](UpdateKind kind, const std::string &key) {
+    const std::size_t before = writer.size();
+    const double allowed = std::max(this->piggybackTokens, this->options.piggybackMinBytes);
+    this->updates.drain(this->maxSent(), [this, &writer, before, allowed](UpdateKind kind, const std::string &key) {
+        if (static_cast<double>(writer.size() - before) >= allowed) {
+            return false;
+        }
         if (kind == UpdateKind::State) {
             return writer.addState(key, this->stateValues.at(key));
         }
@@ -382,6 +391,7 @@
         const auto entry = this->known.find(key);
         return entry == this->known.end() || writer.addMember(entry->second.member);
     });
+    this->piggybackTokens = std::max(0.0, this->piggybackTokens - static_cast<double>(writer.size() - before));
     this->output.datagrams.push_back({address, writer.finish()});
 }
 
--- a/membership/gossipmember.h
+++ b/membership/gossipmember.h
@@ -28,6 +28,11 @@
     core::Duration joinPatience = std::chrono::seconds(2); ///< Without an answer of any seed.
     std::size_t indirect = 2; ///< Members asked to ping a silent one.
     std::size_t maxDatagramBytes = 1'200;
+    // Updates in one datagram are limited by a token bucket, which keeps storms within the control budget, but never
+    // below a minimum, so that the newest update always travels. The burst covers the loss of a data centre of 130.
+    double piggybackBytesPerSecond = 1'500;
+    double piggybackBurstBytes = 16'000;
+    double piggybackMinBytes = 250;
 };
 
 /// SWIM membership with piggybacked updates and periodic comparison of entries. Pure: time comes from the caller, and
@@ -174,6 +179,7 @@
     std::set<std::string> suspects;
     std::map<std::uint64_t, Probe> probes;
     UpdateQueue updates;
+    double piggybackTokens = 0; ///< Bytes of updates that may be sent now.
     GossipOutput output;
     CatchUp catchUp;
     std::deque<bool> probeResults; ///< The latest regular pings.
--- a/membership/gossipmessage.cpp
+++ b/membership/gossipmessage.cpp
@@ -166,8 +166,7 @@
 
 bool GossipWriter::append(std::string &list, const std::string &entry)
 {
-    const std::size_t used = this->head.size() + this->memberList.size() + this->stateList.size() + FrameBytes;
-    if (used + entry.size() + 1 > this->maxBytes) {
+    if (this->size() + entry.size() + 1 > this->maxBytes) {
         return false;
     }
     if (!list.empty()) {
@@ -196,9 +195,9 @@
     return this->append(this->stateList, json::serialize(fields));
 }
 
-bool GossipWriter::hasEntries() const
+std::size_t GossipWriter::size() const
 {
-    return !this->memberList.empty() || !this->stateList.empty();
+    return this->head.size() + this->memberList.size() + this->stateList.size() + FrameBytes;
 }
 
 std::string GossipWriter::finish()
--- a/membership/gossipmessage.h
+++ b/membership/gossipmessage.h
@@ -62,7 +62,9 @@
     bool addMember(const Member &member);
     bool addState(std::string_view key, const StateValue &value);
 
-    bool hasEntries() const;
+    /// Bytes of the datagram so far.
+    std::size_t size() const;
+
     std::string finish();
 
 private:
--- a/membership/updatequeue.cpp
+++ b/membership/updatequeue.cpp
@@ -1,54 +1,55 @@
 #include "membership/updatequeue.h"
 
-#include <algorithm>
-#include <cstdint>
+#include <vector>
 
 namespace endiveshore::membership {
 
-namespace {
-
-// No datagram holds more entries than this.
-constexpr std::size_t MaxOffered = 64;
-
+void UpdateQueue::place(const Key &key, Rank rank)
+{
+    const auto [position, added] = this->ranks.try_emplace(key, rank);
+    if (!added) {
+        this->ordered.erase({position->second, key});
+        position->second = rank;
+    }
+    this->ordered.emplace(rank, key);
 }
 
 void UpdateQueue::add(UpdateKind kind, const std::string &key)
 {
-    const std::uint64_t order = this->nextOrder++;
-    for (Item &item : this->items) {
-        if (item.kind == kind && item.key == key) {
-            item.sent = 0;
-            item.order = order;
-            return;
-        }
+    this->place({kind, key}, {0, --this->nextOrder});
+}
+
+void UpdateQueue::seenElsewhere(UpdateKind kind, const std::string &key)
+{
+    const Key entry{kind, key};
+    const auto found = this->ranks.find(entry);
+    if (found != this->ranks.end()) {
+        this->place(entry, {found->second.sent + 1, found->second.order});
     }
-    this->items.push_back({kind, key, 0, order});
 }
 
 void UpdateQueue::drain(unsigned maxSent, const std::function<bool(UpdateKind kind, const std::string &key)> &take)
 {
-    if (this->items.empty()) {
-        return;
-    }
-    const std::size_t offered = std::min(MaxOffered, this->items.size());
-    std::partial_sort(this->items.begin(),
-                      this->items.begin() + static_cast<std::ptrdiff_t>(offered),
-                      this->items.end(),
-                      [](const Item &left, const Item &right) {
-                          return left.sent != right.sent ? left.sent < right.sent : left.order > right.order;
-                      });
-    for (std::size_t index = 0; index < offered; ++index) {
-        if (!take(this->items[index].kind, this->items[index].key)) {
+    std::vector<std::pair<Rank, Key>> sent;
+    for (const auto &[rank, key] : this->ordered) {
+        if (rank.sent < maxSent && !take(key.first, key.second)) {
             break;
         }
-        ++this->items[index].sent;
+        sent.emplace_back(rank, key);
+    }
+    for (const auto &[rank, key] : sent) {
+        if (rank.sent + 1 < maxSent) {
+            this->place(key, {rank.sent + 1, rank.order});
+            continue;
+        }
+        this->ordered.erase({rank, key});
+        this->ranks.erase(key);
     }
-    std::erase_if(this->items, [maxSent](const Item &item) { return item.sent >= maxSent; });
 }
 
 std::size_t UpdateQueue::size() const
 {
-    return this->items.size();
+    return this->ranks.size();
 }
 
 }
