--- /dev/null
+++ b/tests/process/test_daemonfaults.cpp
@@ -0,0 +1,137 @@
+#include "faulttest.h"
+
+#include "tools/blockinghttp.h"
+
+#include <csignal>
+
+namespace endiveshore::tests {
+
+namespace json = boost::json;
+using tools::Deployment;
+using tools::HistoryEvent;
+
+namespace {
+
+constexpr std::size_t WritesBeforeFault = 20;
+constexpr std::size_t WritesAfterFault = 20;
+constexpr std::chrono::milliseconds StartLimit{10'000};
+constexpr std::chrono::milliseconds RecoveryLimit{10'000};
+
+// Statements of this length keep the slots of a primary busy under the load of these tests.
+constexpr int BusyStatementMs = 40;
+
+}
+
+class HomeFaultTest : public FaultTest
+{
+protected:
+    void startBusyDeployment()
+    {
+        tools::DeploymentOptions options;
+        options.statementMs = BusyStatementMs;
+        this->startDeployment(std::move(options));
+    }
+
+    tools::WorkloadOptions busyLoad() const
+    {
+        tools::WorkloadOptions options = this->roamingLoad();
+        options.transactionShare = 0.05;
+        options.staleReadShare = 0;
+        for (tools::WorkspaceLoad &workspace : options.workspaces) {
+            workspace.sessions = 20;
+            workspace.requestsPerSecond = 150;
+        }
+        return options;
+    }
+
+    void loadUntilBusy(RunningWorkload &load)
+    {
+        ASSERT_TRUE(Deployment::waitUntil(
+            [&] { return load.acknowledged(this->deployment->databaseName(0)) >= WritesBeforeFault; }, StartLimit));
+    }
+
+    /// Home of the primary of the first database, once daemons 0 and 6 agree on it.
+    std::size_t busyHome()
+    {
+        std::optional<std::size_t> home;
+        EXPECT_TRUE(Deployment::waitUntil(
+            [&] {
+                const std::size_t server = this->primary(0).first;
+                home = this->homeOf(0, server, 0);
+                return home.has_value() && home == this->homeOf(0, server, 6);
+            },
+            StartLimit));
+        return home.value_or(0);
+    }
+
+    void expectAcknowledged(RunningWorkload &load, std::int64_t sinceUs)
+    {
+        EXPECT_TRUE(Deployment::waitUntil(
+            [&] { return load.acknowledged(this->deployment->databaseName(0), sinceUs) >= WritesAfterFault; },
+            RecoveryLimit));
+    }
+
+    void checkResults(RunningWorkload &load)
+    {
+        const std::vector<HistoryEvent> history = load.finish();
+        const std::chrono::milliseconds gap = longestGap(history, this->deployment->databaseName(0));
+        std::cout << history.size() << " requests, gap " << gap.count() << " ms\n";
+        EXPECT_LT(gap, FailoverBound);
+        int peak = 0;
+        for (std::size_t server = 0; server < ServerCount; ++server) {
+            const json::object record = this->ledger(0, server);
+            peak = std::max(peak, record.at("peak_slots").to_number<int>());
+        }
+        EXPECT_EQ(peak, 5) << "the load did not use all slots, so the test shows nothing";
+        this->expectCleanLedgers();
+        this->expectValid(history, load.keys());
+    }
+};
+
+/// Requirements 1, 2, 9 and 10 and the slot and connection limits: a home is paused for longer than its lease while its
+/// server's slots are busy, and goes on after another daemon has taken over. Guards against two homes that use the
+/// slots of one server at the same time.
+TEST_F(HomeFaultTest, PausedHomeDoesNotUseSlotsAfterItsLease)
+{
+    this->startBusyDeployment();
+    RunningWorkload load(this->busyLoad());
+    this->loadUntilBusy(load);
+    const std::size_t home = this->busyHome();
+    const std::size_t server = this->primary(0).first;
+    const std::size_t observer = (home + 1) % this->deployment->daemonCount();
+
+    const std::int64_t pauseUs = load.nowUs();
+    this->deployment->daemon(home).sendSignal(SIGSTOP);
+    EXPECT_TRUE(Deployment::waitUntil(
+        [&] {
+            const std::optional<std::size_t> next = this->homeOf(0, server, observer);
+            return next.has_value() && *next != home;
+        },
+        RecoveryLimit))
+        << "no other daemon took over the server";
+    this->expectAcknowledged(load, pauseUs);
+    const std::int64_t resumeUs = load.nowUs();
+    this->deployment->daemon(home).sendSignal(SIGCONT);
+    EXPECT_TRUE(Deployment::waitUntil([&] { return this->homeOf(0, server, observer) == home; }, RecoveryLimit))
+        << "the resumed daemon did not become the home again";
+    this->expectAcknowledged(load, resumeUs);
+    this->checkResults(load);
+}
+
+/// As above for a home that dies and starts again. Its statements still run when the new home takes over.
+TEST_F(HomeFaultTest, KilledHomeIsReplacedWithinTheLimits)
+{
+    this->startBusyDeployment();
+    RunningWorkload load(this->busyLoad());
+    this->loadUntilBusy(load);
+    const std::size_t home = this->busyHome();
+    const std::int64_t killUs = load.nowUs();
+    this->deployment->daemon(home).sendSignal(SIGKILL);
+    this->expectAcknowledged(load, killUs);
+    const std::int64_t restartUs = load.nowUs();
+    this->deployment->daemon(home).restart();
+    this->expectAcknowledged(load, restartUs);
+    this->checkResults(load);
+}
+
+}
