Measure control cost, and derive roles once per membership change

Cause: whether this daemon is a relay was derived from a copy of all members many times a second, which would grow with the fleet.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -4,6 +4,7 @@
 #include "core/hashing.h"
 #include "core/json.h"
 #include "daemon/statementrouter.h"
+#include "net/bytecounter.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -110,6 +111,7 @@
         this->metrics.expose(this->settings.metricsListen);
     }
     this->gossip->start();
+    this->publishView();
     this->peerFrontend->listen(this->settings.peerListen);
     this->admin->listen(this->control.get_executor(), this->settings.adminListen);
     this->configuration->start();
@@ -207,8 +209,8 @@
     storeOptions.endpoints = {this->settings.store};
     this->store = std::make_shared<platform::StoreClient>(this->control.get_executor(), storeOptions);
     ConfigurationCallbacks callbacks;
-    callbacks.isRelay = [this] { return this->isRelay(); };
-    callbacks.peers = [this] { return this->livePeers(); };
+    callbacks.isRelay = [this] { return this->relay; };
+    callbacks.peers = [this] { return this->livePeers; };
     callbacks.exchange = [this](std::string memberId, json::object request) {
         return this->exchangeWithPeer(std::move(memberId), "/peer/config", std::move(request));
     };
@@ -331,6 +333,7 @@
 void Daemon::publishView()
 {
     this->state.members = this->gossip->membership().members();
+    this->updateRoles();
     this->view = buildFleetView(this->state, this->lease, core::Clock::now());
     this->traffic->publish(this->view);
     this->updateMonitoredGroups();
@@ -447,7 +450,7 @@
     });
     const auto revision = static_cast<std::uint64_t>(entries.revision());
     this->state.catalogue = this->catalogueBuilder.build(revision, live);
-    this->gossip->setConfigRevision(revision, this->isRelay());
+    this->gossip->setConfigRevision(revision, this->relay);
     this->metrics.configurationRevision().set(static_cast<double>(revision));
     this->log.line("configuration")
         .field("revision", revision)
@@ -519,7 +522,7 @@
 {
     asio::steady_timer timer(this->control);
     while (!this->stopped) {
-        if (this->isRelay()) {
+        if (this->relay) {
             try {
                 const platform::VmList list = co_await this->vmList->fetch();
                 for (const platform::Vm &vm : list.vms) {
@@ -550,33 +553,27 @@
     }
 }
 
-bool Daemon::isRelay() const
+void Daemon::updateRoles()
 {
-    if (!this->settings.relayConfiguration) {
-        return true;
-    }
-    std::vector<std::string> live;
-    for (const membership::Member &member : this->gossip->membership().members()) {
-        if (isLive(member) && member.dataCentre == this->settings.dataCentre
-            && !this->state.draining.contains(member.id)) {
-            live.push_back(member.id);
-        }
-    }
-    return confsync::isRelay(this->settings.id, this->settings.dataCentre, live);
-}
-
-std::vector<std::string> Daemon::livePeers() const
-{
-    std::vector<std::string> near;
+    // Derived once per change of the membership: the roles are asked for many times a second.
+    std::vector<std::string> inDataCentre;
     std::vector<std::string> far;
-    for (const membership::Member &member : this->gossip->membership().members()) {
-        if (!isLive(member) || member.id == this->settings.id) {
+    this->livePeers.clear();
+    for (const membership::Member &member : this->state.members) {
+        if (!isLive(member)) {
             continue;
         }
-        (member.dataCentre == this->settings.dataCentre ? near : far).push_back(member.id);
+        const bool near = member.dataCentre == this->settings.dataCentre;
+        if (near && !this->state.draining.contains(member.id)) {
+            inDataCentre.push_back(member.id);
+        }
+        if (member.id != this->settings.id) {
+            (near ? this->livePeers : far).push_back(member.id);
+        }
     }
-    near.insert(near.end(), far.begin(), far.end());
-    return near;
+    this->livePeers.insert(this->livePeers.end(), far.begin(), far.end());
+    this->relay = !this->settings.relayConfiguration
+        || confsync::isRelay(this->settings.id, this->settings.dataCentre, inDataCentre);
 }
 
 net::awaitable<json::object> Daemon::exchangeWithPeer(std::string memberId, std::string path, json::object request)
@@ -637,12 +634,13 @@
         {"ready", this->view->ready},
         {"isolated", this->view->isolated},
         {"leaving", this->leaving.load()},
-        {"relay", this->isRelay()},
+        {"relay", this->relay},
         {"members", std::move(members)},
         {"homes", std::move(homes)},
         {"primaries", std::move(primaries)},
         {"control_cpu_s", threadCpuSeconds()},
         {"gossip_bytes", counters.bytesIn + counters.bytesOut},
+        {"control_bytes", counters.bytesIn + counters.bytesOut + net::threadBytes()},
         {"store_calls", this->store->callCount()},
     };
 }
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -60,8 +60,7 @@
     net::awaitable<void> pollVmList();
 
     // Roles derived from the membership.
-    bool isRelay() const;
-    std::vector<std::string> livePeers() const;
+    void updateRoles();
     net::awaitable<boost::json::object>
     exchangeWithPeer(std::string memberId, std::string path, boost::json::object request);
 
@@ -94,6 +93,8 @@
     std::atomic<bool> leaving{false};
     std::atomic<std::uint64_t> homeEpoch{0};
     std::atomic<core::TimePoint::rep> leaseValidUntil{0}; ///< Read by the traffic threads before each statement.
+    bool relay = false; ///< This daemon watches the store for its data centre.
+    std::vector<std::string> livePeers; ///< Other live daemons, those of the own data centre first.
     bool viewScheduled = false;
     bool stopped = false;
 };
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -1,6 +1,7 @@
 #include "net/httpclient.h"
 
 #include "core/error.h"
+#include "net/bytecounter.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -111,6 +112,7 @@
     state.stream.expires_after(timeout);
     auto [writeError, writtenBytes] = co_await http::async_write(state.stream, message, UseTuple);
     state.unsent = false;
+    countThreadBytes(writtenBytes);
     if (writeError) {
         this->close();
         throw core::Error(core::ResultCode::AnswerLost, "send: " + writeError.message());
@@ -118,6 +120,7 @@
     http::response_parser<http::string_body> parser;
     parser.body_limit(MaxAnswerBytes);
     auto [readError, readBytes] = co_await http::async_read(state.stream, state.buffer, parser, UseTuple);
+    countThreadBytes(readBytes);
     if (readError) {
         this->close();
         throw core::Error(core::ResultCode::AnswerLost, "receive: " + readError.message());
