Share the read buffer of peer connections

Cause: each peer connection held a read buffer of 64 KB, which would exceed the 32 MB for control once a daemon talks to a few hundred others. closeAll() missed connections that had been replaced but still had open streams. Change: reads wait for readiness and use one buffer per thread; PeerClient keeps track of replaced connections.

--- a/net/peerclient.cpp
+++ b/net/peerclient.cpp
@@ -43,6 +43,7 @@
     TcpEndpoint endpoint;
     asio::ip::tcp::socket socket; ///< Of the attempt in progress.
     std::shared_ptr<PeerSession> session;
+    std::vector<std::weak_ptr<PeerSession>> replaced; ///< May still have open streams.
     bool connecting = false;
     bool abandoned = false; ///< The client has closed; the attempt must not report anything.
     std::uint64_t attempts = 0; ///< Finished attempts to connect.
@@ -96,6 +97,8 @@
     }
     if (!peer->connecting) {
         peer->connecting = true;
+        std::erase_if(peer->replaced, [](const std::weak_ptr<PeerSession> &session) { return session.expired(); });
+        peer->replaced.push_back(peer->session);
         peer->session = nullptr;
         asio::co_spawn(this->executor, connect(this->options, peer), asio::detached);
     }
@@ -156,6 +159,11 @@
         if (peer->session != nullptr) {
             peer->session->close("client closed");
         }
+        for (const std::weak_ptr<PeerSession> &weakSession : peer->replaced) {
+            if (const std::shared_ptr<PeerSession> session = weakSession.lock()) {
+                session->close("client closed");
+            }
+        }
     }
     this->peers.clear();
 }
--- a/net/peersession.cpp
+++ b/net/peersession.cpp
@@ -188,9 +188,23 @@
 awaitable<void> PeerSession::readLoop()
 {
     const std::shared_ptr<PeerSession> self = this->shared_from_this();
-    std::vector<std::uint8_t> buffer(ReadBytes);
+    // One buffer per thread: a daemon of a large fleet holds thousands of connections, most of them idle.
+    static thread_local std::vector<std::uint8_t> buffer(ReadBytes);
+    boost::system::error_code modeError;
+    this->socket.non_blocking(true, modeError);
     while (!this->closed) {
-        auto [readError, size] = co_await this->socket.async_read_some(asio::buffer(buffer), UseTuple);
+        auto [waitError] = co_await this->socket.async_wait(asio::socket_base::wait_read, UseTuple);
+        boost::system::error_code readError = waitError;
+        std::size_t size = 0;
+        if (!waitError && !this->closed) {
+            size = this->socket.read_some(asio::buffer(buffer), readError);
+        }
+        if (this->closed) {
+            co_return;
+        }
+        if (readError == asio::error::would_block || readError == asio::error::try_again) {
+            continue;
+        }
         if (readError) {
             this->close(readError.message());
             co_return;
--- a/tests/net/test_peer.cpp
+++ b/tests/net/test_peer.cpp
@@ -321,6 +321,51 @@
     });
 }
 
+// Guards against an unknown outcome where the peer has refused the stream: reset streams still occupy their handlers.
+TEST(PeerClient, RefusedStreamIsNotRun)
+{
+    runWithServer([](PeerClient &client, PeerServer &server) -> awaitable<void> {
+        const Executor executor = co_await asio::this_coro::executor;
+        int lost = 0;
+        auto one = [&client, &lost]() -> awaitable<void> {
+            const core::Error error = co_await failingExchange(client, ServerEndpoint, post("/slow", "600"), 100ms);
+            EXPECT_EQ(error.outcome, core::Outcome::Unknown);
+            ++lost;
+        };
+        for (int number = 0; number < 300; ++number) {
+            asio::co_spawn(executor, one, asio::detached);
+        }
+        while (lost < 300) {
+            co_await sleepFor(5ms);
+        }
+        EXPECT_EQ(server.activeRequests(), 300U);
+        const core::Error error = co_await failingExchange(client, ServerEndpoint, post("/echo", "x"), 1s);
+        EXPECT_EQ(error.code, core::ResultCode::PeerUnreachable);
+        EXPECT_EQ(error.outcome, core::Outcome::NotRun);
+        while (server.activeRequests() > 0) {
+            co_await sleepFor(5ms);
+        }
+        HttpRequest request = post("/echo", "again");
+        const HttpResponse response = co_await client.exchange(ServerEndpoint, std::move(request), 1s);
+        EXPECT_EQ(response.body, "again");
+    });
+}
+
+// Guards against an unknown outcome of a request whose end never left: the peer grants no further window.
+TEST(PeerClient, UnfinishedRequestIsNotRun)
+{
+    runWithServer([](PeerClient &client, PeerServer &) -> awaitable<void> {
+        asio::ip::tcp::acceptor acceptor(co_await asio::this_coro::executor, RelayEndpoint);
+        const core::Error small = co_await failingExchange(client, RelayEndpoint, post("/echo", ""), 100ms);
+        EXPECT_EQ(small.code, core::ResultCode::AnswerLost);
+        EXPECT_EQ(small.outcome, core::Outcome::Unknown);
+        const core::Error large
+            = co_await failingExchange(client, RelayEndpoint, post("/echo", std::string(200'000, 'x')), 100ms);
+        EXPECT_EQ(large.code, core::ResultCode::PeerUnreachable);
+        EXPECT_EQ(large.outcome, core::Outcome::NotRun);
+    });
+}
+
 // Guards against a slow handler that is mistaken for a silent connection: its peer answers pings.
 TEST(PeerClient, SlowHandlerIsNotCondemned)
 {
