Keep the stand-in's log over a restart and test more failover cases

Cause: a killed server that came back empty would count towards majorities with a log that it no longer has, which no database with a disk does.

Conclusion: a server can be killed and started again in process tests.

--- a/standins/databaseserver.cpp
+++ b/standins/databaseserver.cpp
@@ -3,7 +3,7 @@
 #include "core/error.h"
 #include "core/json.h"
 #include "core/time.h"
-#include "net/httpclient.h"
+#include "standins/databasesupport.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -26,19 +26,8 @@
 // A statement waits this long for a key locked by a transaction before it is refused with "conflict".
 constexpr std::int64_t LockWaitMs = 200;
 
-// An idle log pull returns after this time, so that the reported lag of an idle replica stays near it.
-constexpr std::int64_t PullWaitMs = 100;
-constexpr auto PullTimeout = 1s;
-constexpr std::int64_t PullRetryMs = 30;
-
 constexpr std::int64_t DefaultLedgerLimit = 5'000;
 
-// The servers of a group run on one host in tests, so the monotonic clock is common to them.
-std::int64_t nowMs()
-{
-    return core::toMilliseconds(core::Clock::now().time_since_epoch());
-}
-
 DatabaseState initialState(const DatabaseServerOptions &options)
 {
     const auto primary = options.peers.find(options.primary);
@@ -46,15 +35,6 @@
         options.primary == options.id, primary != options.peers.end() ? primary->second : std::string(), nowMs());
 }
 
-json::object parseBody(std::string_view body)
-{
-    boost::leaf::result<json::object> parsed = core::parseJsonObject(body);
-    if (!parsed) {
-        throw core::Error(core::ResultCode::MalformedRequest, "a JSON object is required");
-    }
-    return std::move(*parsed);
-}
-
 std::int64_t queryNumber(std::string_view target, std::string_view name, std::int64_t fallback)
 {
     const std::string marker = std::string(name) + "=";
@@ -93,6 +73,7 @@
 
 void DatabaseServer::start()
 {
+    this->openJournal();
     this->server = std::make_shared<net::HttpServer>(
         [this](net::HttpRequest request, net::HttpConnection &connection) {
             return this->handle(std::move(request), connection);
@@ -336,27 +317,6 @@
     co_return net::jsonResponse(200, json::object{{"term", term}});
 }
 
-DatabaseServer::Answer DatabaseServer::log(const Request &request, const net::HttpHeaders &, Connection &)
-{
-    const std::int64_t term = core::jsonInteger(request, "term");
-    const std::int64_t received = core::jsonInteger(request, "received");
-    const json::array *history = core::jsonArray(request, "term_starts");
-    const std::vector<TermStart> termStarts
-        = history != nullptr ? termStartsFromJson(*history) : std::vector<TermStart>();
-    const std::int64_t deadline = nowMs() + core::jsonInteger(request, "timeout_ms");
-    while (true) {
-        LogBatch batch;
-        const Refusal refusal = this->state.read(term, received, termStarts, nowMs(), batch);
-        if (refusal != Refusal::None) {
-            co_return this->refuse(refusal);
-        }
-        if (!batch.entries.empty() || batch.common != received || nowMs() >= deadline) {
-            co_return net::jsonResponse(200, batch.toJson());
-        }
-        co_await this->waitForChange(deadline);
-    }
-}
-
 DatabaseServer::Answer DatabaseServer::control(const Request &request, const net::HttpHeaders &, Connection &)
 {
     this->options.replicationDelayMs
@@ -435,87 +395,4 @@
     }
 }
 
-void DatabaseServer::restartPull()
-{
-    ++this->pullGeneration;
-    // A pull from a silent former primary would delay the first pull from the new one by its timeout.
-    this->pullConnection.close();
-}
-
-net::awaitable<void> DatabaseServer::pullLog()
-{
-    net::HttpClientConnection &connection = this->pullConnection;
-    std::uint64_t generation = 0;
-    std::int64_t pulled = 0;
-    std::vector<TermStart> history;
-    bool positioned = false;
-    while (true) {
-        if (this->state.isPrimary() || this->state.primaryAddress().empty() || this->state.isFenced()) {
-            connection.close();
-            positioned = false;
-            co_await this->waitForChange(nowMs() + PullWaitMs);
-            continue;
-        }
-        if (generation != this->pullGeneration || !positioned) {
-            // Batches still delayed belong to the former position and are dropped by their generation.
-            generation = ++this->pullGeneration;
-            pulled = this->state.received();
-            history = this->state.log().termStarts();
-            positioned = true;
-            connection.close();
-        }
-        std::string failure;
-        try {
-            if (!connection.isOpen()) {
-                connection = net::HttpClientConnection(this->context.get_executor());
-                const net::TcpEndpoint endpoint = net::parseEndpoint(this->state.primaryAddress());
-                co_await connection.connect(endpoint, PullTimeout);
-            }
-            net::HttpRequest request = net::jsonRequest("/log",
-                                                        json::object{{"term", this->state.term()},
-                                                                     {"received", pulled},
-                                                                     {"term_starts", termStartsToJson(history)},
-                                                                     {"timeout_ms", PullWaitMs}});
-            const net::HttpResponse response = co_await connection.exchange(std::move(request), PullTimeout);
-            if (response.status == 200 && generation == this->pullGeneration) {
-                const json::object body = parseBody(response.body);
-                LogBatch batch = LogBatch::fromJson(body);
-                pulled = batch.common + static_cast<std::int64_t>(batch.entries.size());
-                history = batch.termStarts;
-                asio::co_spawn(this->context,
-                               this->receiveBatch(std::move(batch), generation, this->options.replicationDelayMs),
-                               asio::detached);
-                continue;
-            }
-        } catch (const core::Error &error) {
-            failure = error.message;
-        }
-        co_await this->sleep(PullRetryMs);
-    }
-}
-
-net::awaitable<void> DatabaseServer::receiveBatch(LogBatch batch, std::uint64_t generation, std::int64_t delayMs)
-{
-    co_await this->sleep(delayMs);
-    if (generation != this->pullGeneration) {
-        co_return;
-    }
-    if (!this->state.append(batch)) {
-        ++this->pullGeneration;
-        co_return;
-    }
-    this->notifyChange();
-    if (this->options.applyDelayMs <= 0) {
-        this->state.apply(this->state.received());
-        co_return;
-    }
-    asio::co_spawn(this->context, this->applyLater(this->state.received(), this->options.applyDelayMs), asio::detached);
-}
-
-net::awaitable<void> DatabaseServer::applyLater(std::int64_t position, std::int64_t delayMs)
-{
-    co_await this->sleep(delayMs);
-    this->state.apply(position);
-}
-
 }
--- a/standins/databaseserver.h
+++ b/standins/databaseserver.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <fstream>
 #include <list>
 #include <map>
 #include <memory>
@@ -27,6 +28,7 @@
     std::int64_t statementMs = 2;
     std::int64_t replicationDelayMs = 0;
     std::int64_t applyDelayMs = 0;
+    std::string journalFile; ///< Keeps the log over a restart; empty: a restarted server has lost its data.
 };
 
 /// HTTP server around DatabaseState: one backend server of a database group. All work runs on one thread.
@@ -39,7 +41,8 @@
     DatabaseServer(net::asio::io_context &context, DatabaseServerOptions options);
     ~DatabaseServer();
 
-    /// Binds the listening address and starts to pull the log. Throws boost::system::system_error.
+    /// Binds the listening address and starts to pull the log. Throws boost::system::system_error, or
+    /// core::Error for an unusable journal.
     void start();
 
 private:
@@ -65,6 +68,7 @@
     Answer control(const Request &request, const net::HttpHeaders &headers, Connection &connection);
     Answer ledger(const Request &request, const net::HttpHeaders &headers, Connection &connection);
 
+    void openJournal();
     net::HttpResponse refuse(const StatementAnswer &answer) const;
     net::HttpResponse refuse(Refusal refusal) const;
     net::HttpResponse statementAnswer(const StatementAnswer &answer) const;
@@ -80,6 +84,7 @@
     DatabaseServerOptions options;
     DatabaseState state;
     DatabaseLedger records;
+    std::ofstream journal;
     std::shared_ptr<net::HttpServer> server;
     std::list<net::asio::steady_timer *> waiters;
     net::HttpClientConnection pullConnection;
--- a/standins/databasestate.cpp
+++ b/standins/databasestate.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace endiveshore::standins {
 
@@ -137,6 +138,7 @@
         this->grantedTerm = term;
         this->fenceOwner = owner;
         this->abortAll();
+        this->journalState();
         granted = true;
     }
     return {.granted = granted,
@@ -157,6 +159,7 @@
         this->followedAddress.clear();
         this->pendingFreshness.clear();
         this->apply(this->received());
+        this->journalState();
         this->appendOwn(LogEntry{.term = term}, nullptr);
     }
     const bool promoted = owned && this->primary && term == this->currentTerm;
@@ -180,6 +183,7 @@
     this->primary = false;
     this->currentTerm = term;
     this->followedAddress = primaryAddress;
+    this->journalState();
     return Refusal::None;
 }
 
@@ -326,6 +330,7 @@
 StatementAnswer DatabaseState::appendOwn(LogEntry entry, json::value result)
 {
     const std::int64_t term = entry.term;
+    this->journalEntry(entry);
     this->entries.append(std::move(entry));
     this->appliedPosition = this->received();
     for (const RecordedAnswer &answer : this->entries.at(this->appliedPosition).answers) {
@@ -425,15 +430,21 @@
     }
     if (this->received() > batch.common) {
         this->entries.truncate(batch.common);
+        if (this->journal) {
+            this->journal(json::object{{"cut", batch.common}});
+        }
         if (this->appliedPosition > batch.common) {
             this->rebuild(batch.common);
         }
         std::erase_if(this->pendingFreshness, [&batch](const Freshness &mark) { return mark.position > batch.common; });
     }
     for (const LogEntry &entry : batch.entries) {
+        this->journalEntry(entry);
         this->entries.append(entry);
     }
-    this->reconciled = true;
+    if (!std::exchange(this->reconciled, true)) {
+        this->journalState();
+    }
     if (batch.complete) {
         this->pendingFreshness.push_back({.position = this->received(), .timeMs = batch.timeMs});
         this->apply(this->appliedPosition);
--- a/standins/databasestate.h
+++ b/standins/databasestate.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -128,6 +129,12 @@
     /// Appends a batch of the followed primary; false if it is of another term or the server is fenced above it.
     bool append(const LogBatch &batch);
 
+    /// Calls @p journal with each change of the log and the roles, for restore() after a restart.
+    void setJournal(std::function<void(const boost::json::object &record)> journal);
+
+    /// Repeats a journalled change. A restored replica reports a large lag until it hears its primary.
+    void restore(const boost::json::object &record);
+
     /// Applies received entries up to @p position, at most those received.
     void apply(std::int64_t position);
 
@@ -158,10 +165,13 @@
     StatementAnswer executeInTransaction(const StatementRequest &request, Transaction &transaction);
     StatementAnswer appendOwn(LogEntry entry, boost::json::value result);
     std::optional<StatementAnswer> replay(const std::string &requestId) const;
+    void journalState() const;
+    void journalEntry(const LogEntry &entry) const;
     void applyEntry(std::int64_t position);
     void rebuild(std::int64_t position);
     void abortAll();
 
+    std::function<void(const boost::json::object &)> journal;
     DatabaseLog entries;
     KeyValueStore store;
     std::unordered_map<std::string, Recorded> recorded;
--- a/standins/main_standindatabase.cpp
+++ b/standins/main_standindatabase.cpp
@@ -54,7 +54,9 @@
         ("replication-delay-ms", options::value(&server.replicationDelayMs)->default_value(0),
          "delay before entries of the primary count as received")
         ("apply-delay-ms", options::value(&server.applyDelayMs)->default_value(0),
-         "delay before received entries are applied");
+         "delay before received entries are applied")
+        ("journal", options::value(&server.journalFile)->default_value(""),
+         "file that keeps log and terms over a restart of the process");
     // clang-format on
     try {
         options::variables_map values;
--- a/tests/daemon/test_failoverservice.cpp
+++ b/tests/daemon/test_failoverservice.cpp
@@ -247,8 +247,9 @@
 
 }
 
-// Guards against a failover after the end of the primary that takes longer than the design page allows.
-TEST(FailoverService, KilledPrimaryIsReplaced)
+// Guards against a failover after the end of the primary that takes longer than the design page allows, and against a
+// restarted primary that stays apart.
+TEST(FailoverService, KilledPrimaryIsReplacedAndFollowsAfterItsRestart)
 {
     run([](Fleet &fleet, tests::DatabaseGroup &group) -> net::awaitable<void> {
         const core::TimePoint start = core::Clock::now();
@@ -257,6 +258,9 @@
         std::cout << "killed: " << gap.count() << " ms\n";
         EXPECT_LT(gap, 6s);
         EXPECT_NE(fleet.primary, "s1");
+        // It comes back with its former role and term and must be told to follow.
+        group.restart(0);
+        co_await expectAllFollow(fleet, group);
     });
 }
 
--- a/tests/failover/groupsimulation.h
+++ b/tests/failover/groupsimulation.h
@@ -10,6 +10,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace endiveshore::failover {
@@ -19,6 +20,8 @@
 class GroupSimulation
 {
 public:
+    static constexpr std::string_view ServerIds[] = {"s1", "s2", "s3"};
+
     explicit GroupSimulation(std::uint64_t seed);
 
     struct Faults
@@ -93,7 +96,6 @@
         int polls = 0;
     };
 
-    using Clock = core::TimePoint;
     void schedule(core::Milliseconds delay, std::function<void()> action);
     core::TimePoint timePoint() const;
     core::Milliseconds latency(const std::string &home, const std::string &server);
--- a/tests/standins/test_databasestate.cpp
+++ b/tests/standins/test_databasestate.cpp
@@ -157,4 +157,34 @@
     EXPECT_EQ(replica.lagMs(610), 10);
 }
 
+// Guards against a restarted server that forgets a fence, an entry or a cut.
+TEST(DatabaseState, JournalRestoresLogTermsAndCuts)
+{
+    std::vector<json::object> journal;
+    DatabaseState old(true, "", 0);
+    old.setJournal([&journal](const json::object &record) { journal.push_back(record); });
+    DatabaseState replica(false, "old", 0);
+    old.execute(write(1, "a", 1, "r1"));
+    replicate(old, replica);
+    old.execute(write(1, "a", 10, "r2"));
+    replica.fence(2, "home");
+    replica.promote(2, "home");
+    replica.execute(write(2, "a", 100, "r3"));
+    old.follow(2, "replica");
+    replicate(replica, old);
+    old.fence(3, "other");
+
+    DatabaseState restored(true, "", 0);
+    for (const json::object &record : journal) {
+        restored.restore(record);
+    }
+    EXPECT_FALSE(restored.isPrimary());
+    EXPECT_EQ(restored.term(), 2);
+    EXPECT_EQ(restored.fencedTerm(), 3);
+    EXPECT_TRUE(restored.fence(3, "other").granted);
+    EXPECT_EQ(restored.received(), old.received());
+    EXPECT_EQ(restored.log().termStarts(), old.log().termStarts());
+    EXPECT_EQ(restored.execute(readKey("a")).result.as_int64(), 101);
+}
+
 }
--- a/tests/support/databasegroup.h
+++ b/tests/support/databasegroup.h
@@ -2,6 +2,7 @@
 
 #include "tests/support/childprocess.h"
 
+#include <filesystem>
 #include <memory>
 #include <string>
 #include <vector>
@@ -31,12 +32,22 @@
                     peers += (peers.empty() ? "" : ",") + id(other) + "=" + this->address(other);
                 }
             }
-            arguments.insert(arguments.end(), {"--peers", peers});
+            arguments.insert(arguments.end(), {"--peers", peers, "--journal", this->journalFile(index)});
             arguments.insert(arguments.end(), serverArguments.begin(), serverArguments.end());
+            std::filesystem::remove(this->journalFile(index));
+            this->arguments.push_back(arguments);
             this->servers.push_back(std::make_unique<ChildProcess>("standin-database", arguments));
         }
     }
 
+    ~DatabaseGroup()
+    {
+        this->servers.clear();
+        for (int index = 0; index < Size; ++index) {
+            std::filesystem::remove(this->journalFile(index));
+        }
+    }
+
     static constexpr int Size = 3;
 
     static std::string id(int index)
@@ -65,8 +76,24 @@
         return *this->servers[static_cast<std::size_t>(index)];
     }
 
+    /// Starts a server again with the log and terms that it had when it was killed.
+    void restart(int index)
+    {
+        const auto place = static_cast<std::size_t>(index);
+        this->servers[place]->kill();
+        this->servers[place] = std::make_unique<ChildProcess>("standin-database", this->arguments[place]);
+    }
+
 private:
+    std::string journalFile(int index) const
+    {
+        const std::string name
+            = "database-" + std::to_string(::getpid()) + "-" + std::to_string(this->basePort) + "-" + id(index);
+        return (std::filesystem::temp_directory_path() / name).string();
+    }
+
     int basePort;
+    std::vector<std::vector<std::string>> arguments;
     std::unique_ptr<ChildProcess> proxy;
     std::vector<std::unique_ptr<ChildProcess>> servers;
 };
