--- a/tests/process/faulttest.cpp
+++ b/tests/process/faulttest.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <map>
 
 namespace endiveshore::tests {
@@ -158,10 +159,10 @@
 {
     boost::asio::io_context context(1);
     CallerClient client(context.get_executor(), this->service, this->deployment->key(workspace));
-    auto answer = boost::asio::co_spawn(
-        context,
-        client.statement(this->deployment->callerPort(daemon), std::move(body), RequestTimeout),
-        boost::asio::use_future);
+    auto answer
+        = boost::asio::co_spawn(context,
+                                client.statement(this->deployment->callerPort(daemon), std::move(body), RequestTimeout),
+                                boost::asio::use_future);
     context.run();
     return answer.get();
 }
@@ -273,6 +274,8 @@
         }
         history.push_back(std::move(event));
     }
+    std::ofstream file(this->deployment->workDirectory() + "/history.jsonl");
+    tools::writeHistory(file, history);
     const tools::HistoryReport report = tools::checkHistory(history);
     expectNone(report.lostWrites, "lost");
     expectNone(report.doubledWrites, "doubled");
--- a/tests/process/faulttest.h
+++ b/tests/process/faulttest.h
@@ -78,8 +78,8 @@
     std::optional<std::size_t> homeOf(std::size_t database, std::size_t server, std::size_t observer);
     std::optional<boost::json::object> status(std::size_t daemon) const;
 
-    /// Adds the final state, read from the primaries, and expects that nothing is lost, doubled, stale, falsely not run,
-    /// crossed, split, or acknowledged in an old term.
+    /// Adds the final state, read from the primaries, and expects that nothing is lost, doubled, stale, falsely not
+    /// run, crossed, split, or acknowledged in an old term.
     void expectValid(std::vector<tools::HistoryEvent> history, const std::vector<std::string> &keys);
 
     /// Longest time between consecutive acknowledged writes of @p database in the history.
--- a/tests/process/test_failover.cpp
+++ b/tests/process/test_failover.cpp
@@ -97,16 +97,16 @@
 
     const std::int64_t faultUs = load.nowUs();
     this->apply(fault, server);
-    EXPECT_TRUE(Deployment::waitUntil([&, oldTerm = term] { return load.acknowledged(database, faultUs, oldTerm + 1) > 0; },
-                                      FailoverBound))
+    EXPECT_TRUE(Deployment::waitUntil(
+        [&, oldTerm = term] { return load.acknowledged(database, faultUs, oldTerm + 1) > 0; }, FailoverBound))
         << "no write was acknowledged in a later term";
     EXPECT_TRUE(Deployment::waitUntil([&] { return load.acknowledged(database, faultUs) >= WritesAfterChange; },
                                       RecoveryLimit));
     const std::int64_t healUs = load.nowUs();
     this->heal(fault, server);
     // The old primary is back while the load goes on; its late answers must do no harm.
-    EXPECT_TRUE(Deployment::waitUntil([&] { return load.acknowledged(database, healUs) >= WritesAfterChange; },
-                                      RecoveryLimit));
+    EXPECT_TRUE(
+        Deployment::waitUntil([&] { return load.acknowledged(database, healUs) >= WritesAfterChange; }, RecoveryLimit));
 
     const std::vector<HistoryEvent> history = load.finish();
     const std::chrono::milliseconds gap = longestGap(history, database);
@@ -116,17 +116,17 @@
     this->expectValid(history, load.keys());
 }
 
-INSTANTIATE_TEST_SUITE_P(Failover,
-                         PrimaryFaultTest,
-                         ::testing::Values(PrimaryFault{.name = "Killed", .signal = SIGKILL},
-                                           PrimaryFault{.name = "Paused", .signal = SIGSTOP},
-                                           PrimaryFault{.name = "CutBothWays", .cut = "both"},
-                                           PrimaryFault{.name = "CutToPrimary", .cut = "to_target"},
-                                           PrimaryFault{.name = "CutFromPrimary", .cut = "from_target"},
-                                           PrimaryFault{.name = "PausedStoreDown", .signal = SIGSTOP, .storeDown = true},
-                                           PrimaryFault{
-                                               .name = "KilledReplicasLag", .signal = SIGKILL, .replicasLag = true}),
-                         [](const auto &info) { return info.param.name; });
+INSTANTIATE_TEST_SUITE_P(
+    Failover,
+    PrimaryFaultTest,
+    ::testing::Values(PrimaryFault{.name = "Killed", .signal = SIGKILL},
+                      PrimaryFault{.name = "Paused", .signal = SIGSTOP},
+                      PrimaryFault{.name = "CutBothWays", .cut = "both"},
+                      PrimaryFault{.name = "CutToPrimary", .cut = "to_target"},
+                      PrimaryFault{.name = "CutFromPrimary", .cut = "from_target"},
+                      PrimaryFault{.name = "PausedStoreDown", .signal = SIGSTOP, .storeDown = true},
+                      PrimaryFault{.name = "KilledReplicasLag", .signal = SIGKILL, .replicasLag = true}),
+    [](const auto &info) { return info.param.name; });
 
 /// Requirements 1, 3, 9 and 10: daemons die in the middle of transactions. Guards against a transaction that is visible
 /// in part, or that was reported as not run and is visible.
