Admit requests by rate shares, and count only reads as reads

Cause: the daemon admitted every request whatever its workspace's rate, and writes were counted as reads of the primary. Change: admission is a strategy: shares lent by the workspace's allocator, or rate / daemons as the baseline (--rate-mode static). Secrets of session tokens need 16 bytes.

--- a/daemon/callerfrontend.cpp
+++ b/daemon/callerfrontend.cpp
@@ -50,7 +50,7 @@
         try {
             co_return co_await (this->*path.handler)(std::move(request));
         } catch (const core::Error &error) {
-            this->hooks.finished(error.code, error.outcome, nullptr);
+            this->hooks.finished({.code = error.code, .outcome = error.outcome});
             co_return errorAnswer(error);
         }
     }
@@ -68,7 +68,8 @@
     this->authorize(request, *this->hooks.view(), *context.statement.service, context.statement.route->open);
     AdmittedStatement statement = context.statement;
     const StatementAnswer answer = co_await this->router.run(std::move(statement));
-    this->hooks.finished(core::ResultCode::Ok, core::Outcome::Done, &answer);
+    this->hooks.finished(
+        {.read = context.statement.route->kind == document::RouteKind::Read, .fromReplica = answer.role == "replica"});
     co_return this->success(context, answer);
 }
 
@@ -111,7 +112,7 @@
     call.requestId = context.request.requestId;
     call.deadline = context.request.deadline;
     const StatementAnswer answer = co_await this->router.transact(step, std::move(call));
-    this->hooks.finished(core::ResultCode::Ok, core::Outcome::Done, &answer);
+    this->hooks.finished({});
     co_return this->success(context, answer);
 }
 
--- a/daemon/callerfrontend.h
+++ b/daemon/callerfrontend.h
@@ -18,6 +18,15 @@
     std::vector<std::string> sessionSecrets; ///< The first signs; all verify.
 };
 
+/// Result of one request, for metrics.
+struct FinishedRequest
+{
+    core::ResultCode code = core::ResultCode::Ok;
+    core::Outcome outcome = core::Outcome::Done;
+    bool read = false; ///< A read that was answered.
+    bool fromReplica = false;
+};
+
 /// Hooks of the daemon that the caller API depends on.
 struct CallerFrontendHooks
 {
@@ -26,8 +35,7 @@
     std::function<net::awaitable<void>(std::string service, std::string workspace, core::TimePoint deadline)> admit;
     /// True while the daemon prepares to stop; readiness then fails.
     std::function<bool()> leaving;
-    /// Result of each request, for metrics.
-    std::function<void(core::ResultCode code, core::Outcome outcome, const StatementAnswer *answer)> finished;
+    std::function<void(const FinishedRequest &request)> finished;
 };
 
 /// Caller API of one traffic thread: checks the key, resolves names, admits by rate, routes, and returns the answer
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -116,6 +116,7 @@
     this->admin->listen(this->control.get_executor(), this->settings.adminListen);
     this->configuration->start();
     this->traffic->start();
+    this->admission->start();
     if (this->vmList) {
         asio::co_spawn(this->control, this->pollVmList(), asio::detached);
     }
@@ -140,17 +141,18 @@
         const core::TimePoint validUntil{core::Duration(this->leaseValidUntil.load())};
         return epoch == this->homeEpoch.load() && core::Clock::now() < validUntil;
     };
-    hooks.admit = [](std::string, std::string, core::TimePoint) -> net::awaitable<void> { co_return; };
+    hooks.admit = [this](std::string service, std::string workspace, core::TimePoint deadline) {
+        return this->admission->acquire(groupKey(service, workspace), deadline);
+    };
     hooks.leaving = [this] { return this->leaving.load(); };
-    hooks.finished = [this](core::ResultCode code, core::Outcome outcome, const StatementAnswer *answer) {
-        this->metrics.statements(outcome).add();
-        if (code != core::ResultCode::Ok) {
-            this->metrics.refusals(code).add();
+    hooks.finished = [this](const FinishedRequest &request) {
+        this->metrics.statements(request.outcome).add();
+        if (request.code != core::ResultCode::Ok) {
+            this->metrics.refusals(request.code).add();
         }
-        if (answer != nullptr && !answer->role.empty()) {
-            this->metrics
-                .reads(answer->role == "replica" ? telemetry::ReadSource::Replica : telemetry::ReadSource::Primary)
-                .add();
+        if (request.read) {
+            const auto source = request.fromReplica ? telemetry::ReadSource::Replica : telemetry::ReadSource::Primary;
+            this->metrics.reads(source).add();
         }
     };
     hooks.queueWait = [this](core::Duration waited) { this->metrics.queueTime().observe(waited); };
@@ -197,6 +199,7 @@
     if (this->settings.vmList) {
         this->vmList = std::make_unique<platform::VmListClient>(*this->settings.vmList);
     }
+    this->createAdmission();
     this->createGossip();
     this->createConfiguration();
     this->createFailover();
@@ -270,8 +273,24 @@
         this->control.get_executor(), this->settings.id, this->settings.dataCentre, callbacks);
 }
 
+void Daemon::createAdmission()
+{
+    // The shares of all workspaces are owned by the first traffic thread; the others reach them by posting.
+    TrafficThread *thread = this->traffic->all().front();
+    if (this->settings.rateMode == RateMode::Static) {
+        this->admission = std::make_unique<StaticAdmission>(thread->executor());
+        return;
+    }
+    this->admission = std::make_unique<ShareAdmission>(
+        thread->executor(), this->settings.id, [thread](std::string memberId, json::object request) {
+            return thread->askPeer(std::move(memberId), "/peer/shares", std::move(request));
+        });
+}
+
 void Daemon::registerPeerHandlers()
 {
+    this->peerFrontend->addHandler("/peer/shares",
+                                   [this](json::object request) { return this->admission->serve(std::move(request)); });
     this->peerFrontend->addHandler("/peer/release", [this](json::object request) -> net::awaitable<json::object> {
         this->lease.release(
             core::Clock::now(), core::jsonString(request, "server"), core::jsonString(request, "member"));
@@ -336,6 +355,7 @@
     this->updateRoles();
     this->view = buildFleetView(this->state, this->lease, core::Clock::now());
     this->traffic->publish(this->view);
+    this->admission->setView(this->view);
     this->updateMonitoredGroups();
 }
 
@@ -503,9 +523,14 @@
     if (this->configuration->lastStoreConfirmation() != core::TimePoint::min()) {
         this->freshness.storeConfirmed(this->configuration->lastStoreConfirmation());
     }
-    if (this->gossip->membership().seesMajority(now)) {
+    const bool seesMajority = this->gossip->membership().seesMajority(now);
+    if (seesMajority) {
         this->freshness.majorityConfirmed(now);
     }
+    if (seesMajority != this->state.seesMajority) {
+        this->state.seesMajority = seesMajority;
+        this->markChanged();
+    }
     const bool isolated = this->freshness.isolated(now);
     if (isolated == this->state.isolated) {
         return;
@@ -678,6 +703,7 @@
     this->stopped = true;
     this->configuration->stop();
     this->failover->stop();
+    this->admission->stop();
     this->control.stop();
 }
 
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "confsync/freshnesstracker.h"
+#include "daemon/admission.h"
 #include "daemon/cataloguebuilder.h"
 #include "daemon/configservice.h"
 #include "daemon/daemonsettings.h"
@@ -43,6 +44,7 @@
     void createConfiguration();
     void createGossip();
     void createFailover();
+    void createAdmission();
     void registerPeerHandlers();
 
     // Control loop.
@@ -79,6 +81,7 @@
     confsync::FreshnessTracker freshness;
     std::shared_ptr<const FleetView> view;
     std::unique_ptr<TrafficPool> traffic;
+    std::unique_ptr<Admission> admission;
     std::unique_ptr<PeerFrontend> peerFrontend;
     std::unique_ptr<net::PeerClient> peers;
     std::shared_ptr<platform::StoreClient> store;
--- a/daemon/daemonsettings.cpp
+++ b/daemon/daemonsettings.cpp
@@ -120,6 +120,8 @@
             .help = "Highest rate of lines per event type."},
 };
 
+constexpr std::size_t MinimumSecretBytes = 16;
+
 net::TcpEndpoint endpointOf(const core::Settings &settings, std::string_view flag)
 {
     return net::parseEndpoint(settings.text(flag));
@@ -161,6 +163,12 @@
         }
     }
     result.sessionSecrets = settings.list("session-secrets");
+    for (const std::string &secret : result.sessionSecrets) {
+        if (secret.size() < MinimumSecretBytes) {
+            throw core::Error(core::ResultCode::InvalidSetting,
+                              "--session-secrets: every secret needs at least 16 bytes");
+        }
+    }
     result.trafficThreads = static_cast<int>(settings.integer("traffic-threads"));
     result.drainLag = settings.milliseconds("drain-lag-ms");
     result.drainLimit = settings.milliseconds("drain-limit-ms");
--- a/daemon/fleetview.h
+++ b/daemon/fleetview.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace endiveshore::daemon {
 
@@ -58,6 +59,9 @@
     std::unordered_map<std::string, HomeView> homes; ///< By server id.
     std::unordered_map<std::string, ServerView> servers; ///< By server id.
     std::unordered_map<std::string, net::TcpEndpoint> members; ///< Peer endpoints of live daemons.
+    std::vector<std::string> servingMembers; ///< Live daemons that do not prepare to stop.
+    std::vector<std::string> knownMembers; ///< All daemons that have not left, unreachable ones included.
+    bool seesMajority = false; ///< This daemon is in touch with a majority of the known members.
     std::uint64_t homeEpoch = 0; ///< Must equal the daemon's current epoch for own homes to be used.
     bool ready = false; ///< A configuration snapshot is loaded.
     bool isolated = false; ///< Neither the store nor a majority of members was reached in time.
--- a/daemon/fleetviewbuilder.cpp
+++ b/daemon/fleetviewbuilder.cpp
@@ -92,12 +92,19 @@
     view->ready = state.catalogue != nullptr;
     view->isolated = state.isolated;
     view->homeEpoch = state.homeEpoch;
+    view->seesMajority = state.seesMajority;
     if (!view->ready) {
         return view;
     }
     for (const membership::Member &member : state.members) {
+        if (member.state != membership::MemberState::Left) {
+            view->knownMembers.push_back(member.id);
+        }
         if (member.state == membership::MemberState::Alive || member.state == membership::MemberState::Suspect) {
             view->members.emplace(member.id, net::parseEndpoint(member.address));
+            if (!state.draining.contains(member.id)) {
+                view->servingMembers.push_back(member.id);
+            }
         }
     }
     addServers(*view, state);
--- a/daemon/fleetviewbuilder.h
+++ b/daemon/fleetviewbuilder.h
@@ -23,6 +23,7 @@
     std::set<std::string> leavingServers; ///< Addresses of backend servers that the VM list shows as leaving.
     std::map<std::string, GroupView> primaries; ///< By group key; learned from failover and gossip.
     std::uint64_t homeEpoch = 0;
+    bool seesMajority = false;
     bool isolated = false;
 };
 
--- a/daemon/trafficthread.cpp
+++ b/daemon/trafficthread.cpp
@@ -1,6 +1,7 @@
 #include "daemon/trafficthread.h"
 
 #include "core/hashing.h"
+#include "core/json.h"
 #include "daemon/transactionid.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -11,6 +12,12 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+constexpr core::Milliseconds PeerAskTimeout{1'000};
+
+}
+
 TrafficThread::TrafficThread(TrafficOptions options, TrafficHooks hooks, std::size_t index, TrafficPool &pool)
     : work(this->context.get_executor())
     , view(std::make_shared<const FleetView>())
@@ -85,6 +92,21 @@
     return this->registry;
 }
 
+net::awaitable<boost::json::object>
+TrafficThread::askPeer(std::string memberId, std::string path, boost::json::object request)
+{
+    const auto member = this->view->members.find(memberId);
+    if (member == this->view->members.end()) {
+        throw core::Error(core::ResultCode::PeerUnreachable, "unknown member " + memberId);
+    }
+    const net::TcpEndpoint endpoint = member->second;
+    net::HttpRequest message = net::jsonRequest(path, request);
+    const net::HttpResponse response = co_await this->peers.exchange(endpoint, std::move(message), PeerAskTimeout);
+    boost::json::object answer = core::valueOrThrow([&response] { return core::parseJsonObject(response.body); });
+    throwIfError(response.status, answer);
+    co_return answer;
+}
+
 net::awaitable<StatementAnswer> TrafficThread::executeForPeer(StatementCall call)
 {
     const std::shared_ptr<const FleetView> current = this->view;
--- a/daemon/trafficthread.h
+++ b/daemon/trafficthread.h
@@ -33,7 +33,7 @@
     HomeRegistry::HomeCheck homeCheck;
     std::function<net::awaitable<void>(std::string service, std::string workspace, core::TimePoint deadline)> admit;
     std::function<bool()> leaving;
-    std::function<void(core::ResultCode code, core::Outcome outcome, const StatementAnswer *answer)> finished;
+    std::function<void(const FinishedRequest &request)> finished;
     SlotQueue::WaitObserver queueWait;
     StatementRouter::DecisionSink routeDecision;
     HomeRegistry::DecisionSink homeDecision;
@@ -54,6 +54,9 @@
     void setView(std::shared_ptr<const FleetView> view);
     HomeRegistry &homes();
 
+    /// Sends a request to another daemon over this thread's peer connections. Call on this thread. Throws core::Error.
+    net::awaitable<boost::json::object> askPeer(std::string memberId, std::string path, boost::json::object request);
+
     /// Runs a call of another daemon: at the own home, or passes it on once if the home has moved.
     net::awaitable<StatementAnswer> executeForPeer(StatementCall call);
     net::awaitable<StatementAnswer> transactForPeer(TransactionStep step, StatementCall call);
