Tell the freshness tracker who the members are

Cause: the daemon never called FreshnessTracker::setMembers(), so the tracker took the daemon for the only one and never reported isolation.

Change: each new fleet view passes the known members on.

Tested: ConfigurationTest.IsolatedDaemonStopsKeyedRoutes failed before and passes now; StoreOutageDoesNotStopService and ShutdownTest.PlannedStopCutsNoRequest pass as before.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -352,6 +352,11 @@
 void Daemon::publishView()
 {
     this->state.members = this->gossip->membership().members();
+    std::vector<std::string> memberIds;
+    for (const membership::Member &member : this->state.members) {
+        memberIds.push_back(member.id);
+    }
+    this->freshness.setMembers(memberIds);
     this->updateRoles();
     this->view = buildFleetView(this->state, this->lease, core::Clock::now());
     this->traffic->publish(this->view);
