Keep the slot of a statement that outlives its caller's deadline

Cause: at the caller's deadline a home closed the connection and freed the slot, but the server went on with the statement. The next statement went out above the server's slots and was refused with 429. A home that retired reported its work as ended in the same case.

The caller still gets the outcome unknown at its deadline. A transaction whose statement is abandoned is given up as before, once the statement has ended.

--- a/daemon/serverhome.cpp
+++ b/daemon/serverhome.cpp
@@ -131,6 +131,29 @@
 
 }
 
+/// A statement at the server. It keeps its slot and its connection until the server has answered or counts as lost,
+/// also if the caller's deadline passes first: the server still runs it.
+struct ServerHome::Exchange
+{
+    Exchange(std::shared_ptr<ServerHome> home, SlotQueue::Slot slot)
+        : home(std::move(home))
+        , slot(std::move(slot))
+        , ended(this->home->executor)
+    {
+    }
+
+    std::shared_ptr<ServerHome> home; ///< Owns the queue, so it is destroyed after the slot.
+    SlotQueue::Slot slot;
+    std::optional<backend::ConnectionPool::Lease> lease; ///< Of a statement outside a transaction.
+    std::shared_ptr<Transaction> transaction;
+    backend::StatementCall request;
+    backend::StatementResult result;
+    std::exception_ptr failure;
+    asio::steady_timer ended;
+    bool finished = false;
+    bool abandoned = false; ///< The transaction is given up.
+};
+
 ServerHome::ServerHome(net::Executor executor,
                        ServerHomeOptions options,
                        HomeCheck isHome,
@@ -268,22 +291,15 @@
     request.minPosition = static_cast<std::int64_t>(call.required.position);
     request.minTerm = static_cast<std::int64_t>(call.required.term);
     backend::ConnectionPool::Lease lease = co_await this->pool.acquire(call.deadline - core::Clock::now());
-    const core::TimePoint openedAt = lease.openedAt();
     if (!call.readOnly && !lease.isReused()) {
         // A middle box may accept the connection although the server is gone. A failed check leaves the outcome known,
         // a failed write would not.
         co_await this->checkConnection(lease.client(), call.deadline);
     }
-    backend::StatementResult result;
-    try {
-        result = co_await lease.client().statement(std::move(request), statementTimeout(call.deadline));
-    } catch (const core::Error &error) {
-        if (error.code == core::ResultCode::AnswerLost && core::Clock::now() < call.deadline) {
-            this->pool.condemnOlderThan(openedAt);
-        }
-        throw;
-    }
-    slot.release();
+    const auto exchange = std::make_shared<Exchange>(this->shared_from_this(), std::move(slot));
+    exchange->lease = std::move(lease);
+    exchange->request = std::move(request);
+    const backend::StatementResult result = co_await this->exchange(exchange, call.deadline);
     StatementAnswer answer = this->answerOf(result);
     if (result.state == backend::StatementResult::State::Behind) {
         throw core::Error(core::ResultCode::ReplicaBehind,
@@ -297,6 +313,48 @@
     co_return answer;
 }
 
+net::awaitable<backend::StatementResult> ServerHome::exchange(std::shared_ptr<Exchange> exchange,
+                                                              core::TimePoint deadline)
+{
+    exchange->ended.expires_at(deadline);
+    asio::co_spawn(this->executor, this->runExchange(exchange), asio::detached);
+    if (!exchange->finished) {
+        co_await exchange->ended.async_wait(UseTuple);
+    }
+    if (!exchange->finished) {
+        throw core::Error(core::ResultCode::AnswerLost, "the statement had not ended at the deadline of the request");
+    }
+    if (exchange->failure) {
+        std::rethrow_exception(exchange->failure);
+    }
+    co_return std::move(exchange->result);
+}
+
+net::awaitable<void> ServerHome::runExchange(std::shared_ptr<Exchange> exchange)
+{
+    const RunningCall counted(this->running);
+    backend::ServerClient &client
+        = exchange->transaction ? exchange->transaction->lease.client() : exchange->lease->client();
+    try {
+        exchange->result = co_await client.statement(std::move(exchange->request), StatementLimit);
+    } catch (const core::Error &error) {
+        exchange->failure = std::current_exception();
+        if (error.code == core::ResultCode::AnswerLost && exchange->lease) {
+            this->pool.condemnOlderThan(exchange->lease->openedAt());
+        }
+    } catch (...) {
+        exchange->failure = std::current_exception();
+    }
+    if (exchange->abandoned) {
+        // The server aborts a transaction whose connection closes.
+        client.close();
+    }
+    exchange->finished = true;
+    exchange->slot.release();
+    exchange->lease.reset();
+    exchange->ended.cancel();
+}
+
 net::awaitable<void> ServerHome::checkConnection(backend::ServerClient &client, core::TimePoint deadline)
 {
     try {
@@ -312,24 +370,31 @@
     transaction->busy = true;
     std::exception_ptr failure;
     backend::StatementResult result;
+    std::shared_ptr<Exchange> exchange;
     try {
         SlotQueue::Slot slot = co_await this->slotQueue.acquire(
             call.workspace, queueing::Priority::TransactionInProgress, call.deadline - StatementReserve);
-        backend::StatementCall request;
+        exchange = std::make_shared<Exchange>(this->shared_from_this(), std::move(slot));
+        exchange->transaction = transaction;
+        backend::StatementCall &request = exchange->request;
         request.term = static_cast<std::int64_t>(transaction->term);
         request.statement = call.statement.as_object();
         request.readOnly = call.readOnly;
         request.requestId = call.requestId;
         request.workspace = call.workspace;
         request.transaction = call.transaction;
-        result = co_await transaction->lease.client().statement(std::move(request), statementTimeout(call.deadline));
+        result = co_await this->exchange(exchange, call.deadline);
     } catch (...) {
         failure = std::current_exception();
     }
     transaction->busy = false;
     transaction->lastUse = core::Clock::now();
     if (failure) {
-        if (!transaction->lease.client().isOpen()) {
+        const bool running = exchange && !exchange->finished;
+        if (running) {
+            exchange->abandoned = true;
+        }
+        if (running || !transaction->lease.client().isOpen()) {
             this->transactions.erase(call.transaction);
         }
         std::rethrow_exception(failure);
--- a/daemon/serverhome.h
+++ b/daemon/serverhome.h
@@ -67,7 +67,11 @@
         bool busy = false;
     };
 
+    struct Exchange;
+
     net::awaitable<StatementAnswer> executeOnce(StatementCall call);
+    net::awaitable<backend::StatementResult> exchange(std::shared_ptr<Exchange> exchange, core::TimePoint deadline);
+    net::awaitable<void> runExchange(std::shared_ptr<Exchange> exchange);
     net::awaitable<void> checkConnection(backend::ServerClient &client, core::TimePoint deadline);
     net::awaitable<StatementAnswer> executeInTransaction(StatementCall call);
     net::awaitable<StatementAnswer> begin(StatementCall call);
