Test handover and promotion with statements and writes in flight

Change: a home dies while 1.4 s statements hold all slots; a primary dies after writes that no replica has, because both replicas are paused. The lagging replicas now lag 300 and 200 ms.

--- a/tests/process/test_daemonfaults.cpp
+++ b/tests/process/test_daemonfaults.cpp
@@ -2,6 +2,7 @@
 
 #include "tools/blockinghttp.h"
 
+#include <atomic>
 #include <csignal>
 
 namespace endiveshore::tests {
@@ -20,6 +21,9 @@
 // Statements of this length keep the slots of a primary busy under the load of these tests.
 constexpr int BusyStatementMs = 40;
 
+// Shorter than the time that a new home waits (1.5 s).
+constexpr int LongStatementMs = 1'400;
+
 }
 
 class HomeFaultTest : public FaultTest
@@ -134,4 +138,43 @@
     this->checkResults(load);
 }
 
+/// The slots of a server stay in use for as long as the statements of a dead home run. Guards against a new home that
+/// sends statements before these have ended.
+TEST_F(HomeFaultTest, NewHomeWaitsForStatementsOfTheDeadHome)
+{
+    this->startDeployment();
+    const std::size_t home = this->busyHome();
+    const std::size_t server = this->primary(0).first;
+    std::atomic<bool> stopping = false;
+    std::atomic<bool> killed = false;
+    std::atomic<int> doneAfterKill = 0;
+    std::vector<std::thread> callers;
+    for (std::size_t caller = 0; caller < 12; ++caller) {
+        callers.emplace_back([&, caller] {
+            const std::size_t daemon = (home + 1 + caller % 6) % this->deployment->daemonCount();
+            while (!stopping) {
+                const bool later = killed;
+                json::object body = this->readBody(0, "statue", "exact");
+                body["statement"] = json::object{{"op", "sleep"}, {"ms", LongStatementMs}};
+                const bool done = this->statement(daemon, std::move(body)).outcome == core::Outcome::Done;
+                doneAfterKill += later && done ? 1 : 0;
+            }
+        });
+    }
+    const auto slotsInUse = [&] {
+        return tools::getJson(this->deployment->databasePort(0, server), "/status").at("slots_in_use").to_number<int>();
+    };
+    EXPECT_TRUE(Deployment::waitUntil([&] { return slotsInUse() == 0; }, StartLimit));
+    // The home dies right after a new set of statements has started.
+    EXPECT_TRUE(Deployment::waitUntil([&] { return slotsInUse() == 5; }, StartLimit));
+    this->deployment->daemon(home).sendSignal(SIGKILL);
+    killed = true;
+    EXPECT_TRUE(Deployment::waitUntil([&] { return doneAfterKill >= 10; }, RecoveryLimit));
+    stopping = true;
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    this->expectCleanLedgers();
+}
+
 }
--- a/tests/process/test_failover.cpp
+++ b/tests/process/test_failover.cpp
@@ -26,6 +26,7 @@
     std::string cut; ///< Applied to the connections to the primary, if not empty.
     bool storeDown = false;
     bool replicasLag = false;
+    bool replicasPaused = false; ///< Until the primary has run writes that no replica has, and has failed.
 };
 
 void PrintTo(const PrimaryFault &fault, std::ostream *stream)
@@ -43,14 +44,36 @@
         if (fault.storeDown) {
             tools::postJson(this->deployment->storePort(), "/standin/control", json::object{{"down", true}});
         }
+        if (fault.replicasPaused) {
+            this->signalReplicas(server, SIGSTOP);
+            const auto position = [&] {
+                return tools::getJson(this->deployment->databasePort(0, server), "/status")
+                    .at("position")
+                    .to_number<std::int64_t>();
+            };
+            const std::int64_t before = position();
+            EXPECT_TRUE(Deployment::waitUntil([&] { return position() >= before + 5; }, StartLimit));
+        }
         if (fault.signal != 0) {
             this->deployment->server(0, server).sendSignal(fault.signal);
         }
+        if (fault.replicasPaused) {
+            this->signalReplicas(server, SIGCONT);
+        }
         if (!fault.cut.empty()) {
             this->deployment->setServerFault(0, server, json::object{{"cut", fault.cut}});
         }
     }
 
+    void signalReplicas(std::size_t primaryServer, int signal)
+    {
+        for (std::size_t server = 0; server < ServerCount; ++server) {
+            if (server != primaryServer) {
+                this->deployment->server(0, server).sendSignal(signal);
+            }
+        }
+    }
+
     void heal(const PrimaryFault &fault, std::size_t server)
     {
         if (fault.signal == SIGSTOP) {
@@ -73,9 +96,10 @@
                 continue;
             }
             // The replicas differ, so that the choice of the new primary matters.
-            tools::postJson(this->deployment->databasePort(0, server),
-                            "/control",
-                            json::object{{"apply_delay_ms", 400}, {"replication_delay_ms", replica++ == 0 ? 300 : 20}});
+            tools::postJson(
+                this->deployment->databasePort(0, server),
+                "/control",
+                json::object{{"apply_delay_ms", 400}, {"replication_delay_ms", replica++ == 0 ? 300 : 200}});
         }
     }
 };
@@ -125,7 +149,8 @@
                       PrimaryFault{.name = "CutToPrimary", .cut = "to_target"},
                       PrimaryFault{.name = "CutFromPrimary", .cut = "from_target"},
                       PrimaryFault{.name = "PausedStoreDown", .signal = SIGSTOP, .storeDown = true},
-                      PrimaryFault{.name = "KilledReplicasLag", .signal = SIGKILL, .replicasLag = true}),
+                      PrimaryFault{.name = "KilledReplicasLag", .signal = SIGKILL, .replicasLag = true},
+                      PrimaryFault{.name = "KilledReplicasPaused", .signal = SIGKILL, .replicasPaused = true}),
     [](const auto &info) { return info.param.name; });
 
 /// Requirements 1, 3, 9 and 10: daemons die in the middle of transactions. Guards against a transaction that is visible
