--- a/daemon/shareservice.cpp
+++ b/daemon/shareservice.cpp
@@ -23,17 +23,6 @@
 constexpr int RenewalsPerLease = 4;
 constexpr std::size_t IncarnationBytes = 6;
 
-/// Value of the leaf::result that @p read returns; throws its failure as core::Error.
-template<typename Read>
-auto messageOrThrow(Read read)
-{
-    using Message = std::decay_t<decltype(read().value())>;
-    return boost::leaf::try_handle_all(
-        read,
-        [](const core::Failure &failure) -> Message { throw core::Error(failure.code, failure.message); },
-        []() -> Message { throw core::Error(core::ResultCode::MalformedRequest, "unreadable message"); });
-}
-
 std::uint64_t randomSeed()
 {
     return core::stableHash(core::randomHex(sizeof(std::uint64_t)));
@@ -126,7 +115,7 @@
 {
     const core::TimePoint now = core::Clock::now();
     if (const json::object *body = core::jsonObject(request, "share")) {
-        const limits::ShareRequest message = messageOrThrow([&] { return limits::shareRequestFromJson(*body); });
+        const limits::ShareRequest message = core::valueOrThrow([&] { return limits::shareRequestFromJson(*body); });
         const auto found = this->shares.find(message.workspace);
         if (found == this->shares.end()) {
             const limits::ShareGrant refusal{
@@ -137,7 +126,7 @@
     }
     if (const json::object *body = core::jsonObject(request, "endorse")) {
         const limits::EndorsementRequest message
-            = messageOrThrow([&] { return limits::endorsementRequestFromJson(*body); });
+            = core::valueOrThrow([&] { return limits::endorsementRequestFromJson(*body); });
         json::array endorsed;
         for (const std::string &workspace : message.workspaces) {
             // Only known workspaces are kept, which bounds the memory.
@@ -268,7 +257,7 @@
         if (body == nullptr) {
             throw core::Error(core::ResultCode::MalformedRequest, "answer without a grant");
         }
-        const limits::ShareGrant grant = messageOrThrow([&] { return limits::shareGrantFromJson(*body); });
+        const limits::ShareGrant grant = core::valueOrThrow([&] { return limits::shareGrantFromJson(*body); });
         share->holder.onGrant(grant, core::Clock::now());
     } catch (const core::Error &) {
         share->holder.onFailure(request.sequence, core::Clock::now());
