Probe the other servers of a group slowly

Cause: after a region cut the former primary and its home agreed with each other on the old term.

Change: servers that are neither the primary nor this daemon's own are probed every 2 s. The simulation pulls one batch at a time, since its guard against old batches also dropped the first batch of a long cut.

Conclusion: a group rejoins after a partition without help from gossip.

--- a/failover/groupmonitor.cpp
+++ b/failover/groupmonitor.cpp
@@ -149,7 +149,11 @@
 void GroupMonitor::probeDue(core::TimePoint now, Actions &actions)
 {
     for (auto &[id, watched] : this->servers) {
-        if (now < watched.nextProbe || watched.probing || watched.probingNew || !this->isProbed(id, now)) {
+        const core::Milliseconds extra = this->isProbed(id, now)
+            ? core::Milliseconds(0)
+            : this->options.otherProbeInterval - this->options.probeInterval;
+        const bool due = watched.nextProbe == core::TimePoint::min() || now >= watched.nextProbe + extra;
+        if (!due || watched.probing || watched.probingNew) {
             continue;
         }
         // The jitter keeps the homes of a group from probing in step.
--- a/failover/groupmonitor.h
+++ b/failover/groupmonitor.h
@@ -41,6 +41,9 @@
 struct MonitorOptions
 {
     core::Milliseconds probeInterval{300};
+    /// For servers that are neither the primary nor this daemon's own. After a partition, a former primary and its home
+    /// agree with each other; only a probe across shows them the later term.
+    core::Milliseconds otherProbeInterval{2'000};
     core::Milliseconds probeTimeout{300}; ///< For one probe; the caller of the monitor keeps it.
     int missesBeforeSuspicion = 2;
     core::Milliseconds confirmTimeout{400};
--- a/tests/backend/test_connectionpool.cpp
+++ b/tests/backend/test_connectionpool.cpp
@@ -157,6 +157,62 @@
     });
 }
 
+// Guards against a stand-in that hides a proxy's excess of slots or connections, and against a wrong outcome for it.
+TEST(ServerClient, ExcessSlotsAndConnectionsAreRefusedAndCounted)
+{
+    runWithServer([]() -> net::awaitable<void> {
+        const net::Executor executor = co_await asio::this_coro::executor;
+        std::vector<std::unique_ptr<ServerClient>> clients;
+        int refusedSlots = 0;
+        int finished = 0;
+        const auto sleepOnce = [&](ServerClient &client) -> net::awaitable<void> {
+            StatementCall call;
+            call.statement = {{"op", "sleep"}, {"ms", 100}};
+            call.readOnly = true;
+            try {
+                co_await client.statement(call, 1s);
+            } catch (const core::Error &error) {
+                EXPECT_EQ(error.code, core::ResultCode::QueueFull);
+                EXPECT_EQ(error.outcome, core::Outcome::NotRun);
+                ++refusedSlots;
+            }
+            ++finished;
+        };
+        // The connections of the start-up checks may still be open.
+        co_await pause(50ms);
+        for (int index = 0; index < 4; ++index) {
+            clients.push_back(std::make_unique<ServerClient>(executor));
+            co_await clients.back()->connect(Server, 1s);
+        }
+        for (int index = 0; index < 3; ++index) {
+            asio::co_spawn(executor, sleepOnce(*clients[static_cast<std::size_t>(index)]), asio::detached);
+        }
+        while (finished < 3) {
+            co_await pause(5ms);
+        }
+        EXPECT_EQ(refusedSlots, 1);
+        co_await clients[3]->status(1s);
+        ServerClient fifth(executor);
+        co_await fifth.connect(Server, 1s);
+        try {
+            co_await fifth.status(1s);
+            ADD_FAILURE() << "the limit of 4 connections must hold";
+        } catch (const core::Error &error) {
+            EXPECT_EQ(error.code, core::ResultCode::BackendUnreachable);
+        }
+        EXPECT_FALSE(fifth.isOpen());
+        net::HttpRequest request;
+        request.target = "/ledger";
+        const net::HttpResponse response = co_await net::exchangeOnce(Server, request, 1s);
+        const json::object ledger = json::parse(response.body).as_object();
+        EXPECT_EQ(ledger.at("slot_violations").as_int64(), 1);
+        EXPECT_EQ(ledger.at("peak_slots").as_int64(), 2);
+        EXPECT_EQ(ledger.at("connection_violations").as_int64(), 1);
+        EXPECT_EQ(ledger.at("peak_connections").as_int64(), 5);
+        EXPECT_EQ(ledger.at("total").as_int64(), 2);
+    });
+}
+
 // Guards against a transaction that survives its connection.
 TEST(ServerClient, ClosedConnectionAbortsItsTransaction)
 {
--- a/tests/failover/groupsimulation.h
+++ b/tests/failover/groupsimulation.h
@@ -73,6 +73,7 @@
         std::unique_ptr<standins::DatabaseState> state;
         Faults faults;
         std::vector<std::function<void()>> waiting;
+        bool pulling = false;
     };
 
     struct Event
--- a/tests/failover/test_groupmonitor.cpp
+++ b/tests/failover/test_groupmonitor.cpp
@@ -240,4 +240,36 @@
     }
 }
 
+// Guards against a lost region link that leaves the larger side without a primary, or lets both sides acknowledge.
+TEST(GroupMonitor, LargerSideOfARegionCutGetsThePrimary)
+{
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        GroupSimulation simulation(seed);
+        simulation.run(2s);
+        simulation.setFaults("s1", {.cutFromReplicas = true});
+        simulation.homes["home-s1"].unreachableServers = {"s2", "s3"};
+        simulation.homes["home-s1"].unreachableHomes = {"home-s2", "home-s3"};
+        simulation.homes["home-s2"].unreachableServers = {"s1"};
+        simulation.homes["home-s3"].unreachableServers = {"s1"};
+        EXPECT_TRUE(simulation.runUntil(6s, [&simulation] {
+            return simulation.isWritable() && simulation.primary() != "s1";
+        })) << describe(simulation);
+        simulation.run(10s);
+        EXPECT_EQ(simulation.primaries.size(), 2U) << describe(simulation);
+        EXPECT_TRUE(simulation.state("s1").isPrimary());
+
+        simulation.setFaults("s1", {});
+        for (auto &[name, home] : simulation.homes) {
+            home.unreachableServers.clear();
+            home.unreachableHomes.clear();
+        }
+        EXPECT_TRUE(simulation.runUntil(6s, [&simulation] {
+            return simulation.state("s1").log().lastTerm() == simulation.primaries.rbegin()->first;
+        })) << describe(simulation);
+        simulation.run(500ms);
+        simulation.checkAcknowledged();
+        EXPECT_TRUE(simulation.violations.empty()) << describe(simulation);
+    }
+}
+
 }
--- a/tests/failover/test_groupsimulation.cpp
+++ b/tests/failover/test_groupsimulation.cpp
@@ -331,7 +331,8 @@
 {
     for (auto &[name, replica] : this->servers) {
         const std::string &address = replica.state->primaryAddress();
-        if (replica.state->isPrimary() || replica.faults.down || replica.faults.paused || address.empty()) {
+        if (replica.pulling || replica.state->isPrimary() || replica.faults.down || replica.faults.paused
+            || address.empty()) {
             continue;
         }
         Server &source = this->servers[address];
@@ -346,10 +347,11 @@
                                                              this->time.count(),
                                                              *batch);
         if (refusal == standins::Refusal::None) {
+            // One batch at a time, as an older batch must not cut what a later one appended.
+            replica.pulling = true;
             this->schedule(core::Milliseconds(1 + this->random() % 12), [&replica = replica, batch] {
-                // A batch on its way may arrive after a fence, a follow or another batch.
-                if (!replica.faults.down && batch->common <= replica.state->received()
-                    && batch->common + static_cast<std::int64_t>(batch->entries.size()) >= replica.state->received()) {
+                replica.pulling = false;
+                if (!replica.faults.down) {
                     replica.state->append(*batch);
                     replica.state->apply(replica.state->received());
                 }
