Test failover with a single remaining home

Cause: acting without another home's word was only covered by cases with peers.

Change: two simulation cases, one that must promote and one that must not.

Conclusion: no change of behaviour.

--- a/tests/failover/test_groupmonitor.cpp
+++ b/tests/failover/test_groupmonitor.cpp
@@ -272,4 +272,34 @@
     }
 }
 
+// Guards against a group that stays without a primary when the other homes are lost with it.
+TEST(GroupMonitor, LoneHomeReplacesAKilledPrimary)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        GroupSimulation simulation(seed);
+        simulation.run(2s);
+        simulation.homes["home-s1"].alive = false;
+        simulation.homes["home-s2"].alive = false;
+        simulation.setFaults("s1", {.down = true});
+        EXPECT_TRUE(simulation.runUntil(6s, [&simulation] { return simulation.isWritable(); })) << describe(simulation);
+        simulation.run(1s);
+        simulation.checkAcknowledged();
+        EXPECT_TRUE(simulation.violations.empty()) << describe(simulation);
+    }
+}
+
+// Guards against a lone home that replaces a primary which still replicates and may serve others.
+TEST(GroupMonitor, LoneHomeKeepsAPrimaryThatReplicasHear)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        GroupSimulation simulation(seed);
+        simulation.run(2s);
+        simulation.homes["home-s3"].unreachableServers = {"s1"};
+        simulation.homes["home-s3"].unreachableHomes = {"home-s1", "home-s2"};
+        simulation.run(10s);
+        EXPECT_EQ(simulation.primaries.size(), 1U) << describe(simulation);
+        EXPECT_EQ(simulation.state("s2").fencedTerm(), 1) << describe(simulation);
+    }
+}
+
 }
