Support the allocator of a workspace by at most seven witnesses

Cause: an allocator asked every member to support its lease four times a second, so the cost of leases grew with the square of the fleet. Change: fleets above seven daemons use the seven members of highest rendezvous weight per workspace, of which five must agree; sets that differ in two members still intersect. Share requests are answered on the traffic thread. Conclusion: the cost per lease no longer depends on the fleet.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -289,8 +289,8 @@
 
 void Daemon::registerPeerHandlers()
 {
-    this->peerFrontend->addHandler("/peer/shares",
-                                   [this](json::object request) { return this->admission->serve(std::move(request)); });
+    this->peerFrontend->addTrafficHandler(
+        "/peer/shares", [this](json::object request) { return this->admission->serve(std::move(request)); });
     this->peerFrontend->addHandler("/peer/release", [this](json::object request) -> net::awaitable<json::object> {
         this->lease.release(
             core::Clock::now(), core::jsonString(request, "server"), core::jsonString(request, "member"));
--- a/daemon/peerfrontend.cpp
+++ b/daemon/peerfrontend.cpp
@@ -36,6 +36,11 @@
     this->handlers.emplace(std::move(path), std::move(handler));
 }
 
+void PeerFrontend::addTrafficHandler(std::string path, ControlHandler handler)
+{
+    this->trafficHandlers.emplace(std::move(path), std::move(handler));
+}
+
 void PeerFrontend::listen(const net::TcpEndpoint &endpoint)
 {
     for (TrafficThread *thread : this->traffic.all()) {
@@ -79,6 +84,10 @@
         const StatementAnswer answer = co_await thread.transactForPeer(path.step, std::move(call));
         co_return toJson(answer);
     }
+    const auto trafficHandler = this->trafficHandlers.find(request.target);
+    if (trafficHandler != this->trafficHandlers.end()) {
+        co_return co_await trafficHandler->second(std::move(message));
+    }
     const auto handler = this->handlers.find(request.target);
     if (handler == this->handlers.end()) {
         throw core::Error(core::ResultCode::UnknownPath, "unknown peer path");
--- a/daemon/peerfrontend.h
+++ b/daemon/peerfrontend.h
@@ -24,6 +24,9 @@
     /// Registers a handler of the control thread for POST @p path. Call before listen().
     void addHandler(std::string path, ControlHandler handler);
 
+    /// Registers a handler for POST @p path that runs on the traffic thread of the connection. Call before listen().
+    void addTrafficHandler(std::string path, ControlHandler handler);
+
     /// Accepts peers on all traffic threads.
     void listen(const net::TcpEndpoint &endpoint);
     void stop();
@@ -35,6 +38,7 @@
     net::Executor control;
     TrafficPool &traffic;
     std::map<std::string, ControlHandler, std::less<>> handlers;
+    std::map<std::string, ControlHandler, std::less<>> trafficHandlers;
     std::vector<std::shared_ptr<net::PeerServer>> servers;
 };
 
--- a/daemon/shareservice.cpp
+++ b/daemon/shareservice.cpp
@@ -195,18 +195,22 @@
     const auto self = this->shared_from_this();
     asio::steady_timer timer(this->executor);
     while (!this->stopped) {
-        limits::EndorsementRequest request{.allocator = this->identity};
+        // One request per witness carries all workspaces that it is asked to support.
+        std::map<std::string, limits::EndorsementRequest> requests;
         if (this->surroundings.seesMajority()) {
+            const std::vector<std::string> members = this->surroundings.members();
             for (const auto &[workspace, share] : this->shares) {
-                if (this->surroundings.allocatorOf(workspace) == this->options.memberId) {
-                    request.workspaces.push_back(workspace);
+                if (this->surroundings.allocatorOf(workspace) != this->options.memberId) {
+                    continue;
+                }
+                for (const std::string &witness : limits::witnessesOf(workspace, members).members) {
+                    requests[witness].workspaces.push_back(workspace);
                 }
             }
         }
-        if (!request.workspaces.empty()) {
-            for (const std::string &member : this->surroundings.members()) {
-                asio::co_spawn(this->executor, this->seekEndorsement(member, request), asio::detached);
-            }
+        for (auto &[witness, request] : requests) {
+            request.allocator = this->identity;
+            asio::co_spawn(this->executor, this->seekEndorsement(witness, std::move(request)), asio::detached);
         }
         timer.expires_after(this->options.leasePeriod / RenewalsPerLease);
         boost::system::error_code cancelled;
@@ -230,7 +234,7 @@
     if (endorsed == nullptr || this->stopped) {
         co_return;
     }
-    const std::size_t memberCount = this->surroundings.members().size();
+    const std::vector<std::string> members = this->surroundings.members();
     for (const json::value &workspace : *endorsed) {
         if (!workspace.is_string()) {
             continue;
@@ -242,7 +246,8 @@
         }
         Share &share = *found->second;
         share.lease.endorsed(member, askedAt);
-        share.allocator.extendLease(share.lease.heldUntil(memberCount), core::Clock::now());
+        share.allocator.extendLease(share.lease.heldUntil(limits::witnessesOf(found->first, members)),
+                                    core::Clock::now());
     }
 }
 
--- a/limits/allocatorlease.cpp
+++ b/limits/allocatorlease.cpp
@@ -48,16 +48,33 @@
 
 core::TimePoint AllocatorLease::heldUntil(std::size_t memberCount) const
 {
-    const std::size_t majority = memberCount / 2 + 1;
-    if (this->askedAt.size() < majority) {
-        return core::TimePoint::min();
-    }
     std::vector<core::TimePoint> times;
     times.reserve(this->askedAt.size());
     for (const auto &[member, asked] : this->askedAt) {
         times.push_back(asked);
     }
-    const auto decisive = times.begin() + static_cast<std::ptrdiff_t>(majority - 1);
+    return this->supportedUntil(std::move(times), memberCount / 2 + 1);
+}
+
+core::TimePoint AllocatorLease::heldUntil(const WitnessSet &witnesses) const
+{
+    std::vector<core::TimePoint> times;
+    times.reserve(witnesses.members.size());
+    for (const std::string &member : witnesses.members) {
+        const auto found = this->askedAt.find(member);
+        if (found != this->askedAt.end()) {
+            times.push_back(found->second);
+        }
+    }
+    return this->supportedUntil(std::move(times), witnesses.required);
+}
+
+core::TimePoint AllocatorLease::supportedUntil(std::vector<core::TimePoint> times, std::size_t required) const
+{
+    if (times.size() < required) {
+        return core::TimePoint::min();
+    }
+    const auto decisive = times.begin() + static_cast<std::ptrdiff_t>(required - 1);
     std::nth_element(times.begin(), decisive, times.end(), std::greater<>());
     return *decisive + this->period;
 }
--- a/limits/allocatorlease.h
+++ b/limits/allocatorlease.h
@@ -2,6 +2,8 @@
 
 #include "core/time.h"
 
+#include "limits/witnesses.h"
+
 #include <cstddef>
 #include <functional>
 #include <map>
@@ -49,7 +51,12 @@
     /// @p memberCount includes this daemon and all members that are unreachable but have not left.
     core::TimePoint heldUntil(std::size_t memberCount) const;
 
+    /// Time until which enough of @p witnesses support this allocator. Support of other members does not count.
+    core::TimePoint heldUntil(const WitnessSet &witnesses) const;
+
 private:
+    core::TimePoint supportedUntil(std::vector<core::TimePoint> times, std::size_t required) const;
+
     core::Duration period;
     std::map<std::string, core::TimePoint, std::less<>> askedAt;
 };
--- a/tests/limits/test_limits.cpp
+++ b/tests/limits/test_limits.cpp
@@ -1,5 +1,7 @@
 #include "cluster.h"
 
+#include <set>
+
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
@@ -9,6 +11,39 @@
 
 namespace endiveshore::limits {
 
+// Guards against a lease whose cost grows with the fleet, and against two daemons with slightly different views that
+// both find enough witnesses.
+TEST(Witnesses, QuorumsOfSetsThatDifferInTwoMembersIntersect)
+{
+    std::vector<std::string> members;
+    for (int member = 0; member < 100; ++member) {
+        members.push_back("daemon-" + std::to_string(member));
+    }
+    const WitnessSet before = witnessesOf("rota-db/museum", members);
+    EXPECT_EQ(before.members.size(), MaximumWitnesses);
+    std::vector<std::string> reduced = members;
+    std::erase(reduced, before.members[0]);
+    std::erase(reduced, before.members[1]);
+    const WitnessSet after = witnessesOf("rota-db/museum", reduced);
+    std::set<std::string> together(before.members.begin(), before.members.end());
+    together.insert(after.members.begin(), after.members.end());
+    EXPECT_GT(before.required + after.required, together.size());
+    EXPECT_EQ(witnessesOf("rota-db/museum", std::span(members).first(7)).required, 4U);
+}
+
+// Guards against a lease that counts the support of members that are not witnesses.
+TEST(AllocatorLease, OnlyWitnessesCount)
+{
+    const core::TimePoint start = core::TimePoint() + std::chrono::hours(1);
+    AllocatorLease lease(std::chrono::seconds(1));
+    const WitnessSet witnesses{.members = {"a", "b", "c"}, .required = 2};
+    lease.endorsed("a", start);
+    lease.endorsed("x", start);
+    EXPECT_LT(lease.heldUntil(witnesses), start);
+    lease.endorsed("c", start);
+    EXPECT_EQ(lease.heldUntil(witnesses), start + std::chrono::seconds(1));
+}
+
 namespace {
 
 using namespace std::chrono_literals;
