Reserve the ports of process tests

Cause: two checkouts that ran test_daemon at the same time reached each other's servers and fault proxies; in 14 runs of the silent-connection case under such use 5 failed, 3 of them with 'Address already in use'.

Change: PortGuard holds one port of the range of a test and waits while another run holds it. The tests use other ports than before, since older checkouts do not know the guard.

--- a/tests/backend/test_connectionpool.cpp
+++ b/tests/backend/test_connectionpool.cpp
@@ -1,5 +1,6 @@
 #include "backend/connectionpool.h"
 #include "tests/support/childprocess.h"
+#include "tests/support/portguard.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -18,9 +19,9 @@
 
 namespace {
 
-const net::TcpEndpoint Server(asio::ip::address_v4::loopback(), 23101);
-const net::TcpEndpoint Front(asio::ip::address_v4::loopback(), 23102);
-const net::TcpEndpoint Control(asio::ip::address_v4::loopback(), 23103);
+const net::TcpEndpoint Server(asio::ip::address_v4::loopback(), 23401);
+const net::TcpEndpoint Front(asio::ip::address_v4::loopback(), 23402);
+const net::TcpEndpoint Control(asio::ip::address_v4::loopback(), 23403);
 
 net::awaitable<void> pause(core::Duration duration)
 {
@@ -68,13 +69,14 @@
 template<typename Body>
 void runWithServer(Body body)
 {
+    const tests::PortGuard guard(23400);
     tests::ChildProcess server("standin-database",
                                {"--id",
                                 "s1",
                                 "--database",
                                 "rota",
                                 "--listen",
-                                "127.0.0.1:23101",
+                                "127.0.0.1:23401",
                                 "--primary",
                                 "s1",
                                 "--connection-limit",
@@ -84,7 +86,7 @@
                                 "--connect-ms",
                                 "5"});
     tests::ChildProcess proxy(
-        "faultproxy", {"--listen", "127.0.0.1:23102", "--target", "127.0.0.1:23101", "--control", "127.0.0.1:23103"});
+        "faultproxy", {"--listen", "127.0.0.1:23402", "--target", "127.0.0.1:23401", "--control", "127.0.0.1:23403"});
     asio::io_context context(1);
     std::exception_ptr failure;
     bool ended = false;
@@ -278,7 +280,7 @@
                 EXPECT_EQ(error.outcome, core::Outcome::NotRun);
             }
         }
-        const net::TcpEndpoint nowhere(asio::ip::address_v4::loopback(), 23199);
+        const net::TcpEndpoint nowhere(asio::ip::address_v4::loopback(), 23499);
         ConnectionPool refused(executor, nowhere, {.limit = 1});
         for (int attempt = 0; attempt < 3; ++attempt) {
             try {
--- a/tests/daemon/test_failoverservice.cpp
+++ b/tests/daemon/test_failoverservice.cpp
@@ -23,7 +23,7 @@
 
 namespace {
 
-constexpr int BasePort = 23200;
+constexpr int BasePort = 23500;
 
 net::awaitable<void> pause(core::Duration duration)
 {
--- a/tests/standins/test_faultproxy.cpp
+++ b/tests/standins/test_faultproxy.cpp
@@ -1,6 +1,7 @@
 #include "core/error.h"
 #include "net/httpclient.h"
 #include "standins/faultproxy.h"
+#include "tests/support/portguard.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -15,9 +16,9 @@
 
 namespace {
 
-const net::TcpEndpoint Target(asio::ip::address_v4::loopback(), 23050);
-const net::TcpEndpoint Front(asio::ip::address_v4::loopback(), 23051);
-const net::TcpEndpoint Control(asio::ip::address_v4::loopback(), 23052);
+const net::TcpEndpoint Target(asio::ip::address_v4::loopback(), 23451);
+const net::TcpEndpoint Front(asio::ip::address_v4::loopback(), 23452);
+const net::TcpEndpoint Control(asio::ip::address_v4::loopback(), 23453);
 
 net::awaitable<void> setFault(std::string_view change)
 {
@@ -48,6 +49,7 @@
 template<typename Body>
 void run(Body body)
 {
+    const tests::PortGuard guard(23450);
     asio::io_context context(1);
     auto server = std::make_shared<net::HttpServer>(
         [](net::HttpRequest, net::HttpConnection &) -> net::awaitable<net::HttpResponse> {
--- a/tests/support/databasegroup.h
+++ b/tests/support/databasegroup.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tests/support/childprocess.h"
+#include "tests/support/portguard.h"
 
 #include <filesystem>
 #include <memory>
@@ -10,12 +11,13 @@
 namespace endiveshore::tests {
 
 /// Three stand-in database servers s1, s2 and s3 behind one fault proxy with a route for each. Clients and the servers
-/// among themselves use the proxied addresses. Uses the loopback ports base+1..3, base+11..13 and base+20.
+/// among themselves use the proxied addresses. Uses the loopback ports base..base+3, base+11..13 and base+20.
 class DatabaseGroup
 {
 public:
     explicit DatabaseGroup(int basePort, std::vector<std::string> serverArguments = {})
-        : basePort(basePort)
+        : guard(basePort)
+        , basePort(basePort)
     {
         std::vector<std::string> proxyArguments{"--control", this->controlAddress()};
         for (int index = 0; index < Size; ++index) {
@@ -92,6 +94,7 @@
         return (std::filesystem::temp_directory_path() / name).string();
     }
 
+    PortGuard guard;
     int basePort;
     std::vector<std::vector<std::string>> arguments;
     std::unique_ptr<ChildProcess> proxy;
