--- a/daemon/shareservice.cpp
+++ b/daemon/shareservice.cpp
@@ -23,17 +23,6 @@
 constexpr int RenewalsPerLease = 4;
 constexpr std::size_t IncarnationBytes = 6;
 
-/// Value of the leaf::result that @p read returns; throws its failure as core::Error.
-template<typename Read>
-auto messageOrThrow(Read read)
-{
-    using Message = std::decay_t<decltype(read().value())>;
-    return boost::leaf::try_handle_all(
-        read,
-        [](const core::Failure &failure) -> Message { throw core::Error(failure.code, failure.message); },
-        []() -> Message { throw core::Error(core::ResultCode::MalformedRequest, "unreadable message"); });
-}
-
 std::uint64_t randomSeed()
 {
     return core::stableHash(core::randomHex(sizeof(std::uint64_t)));
@@ -126,7 +115,7 @@
 {
     const core::TimePoint now = core::Clock::now();
     if (const json::object *body = core::jsonObject(request, "share")) {
-        const limits::ShareRequest message = messageOrThrow([&] { return limits::shareRequestFromJson(*body); });
+        const limits::ShareRequest message = core::valueOrThrow([&] { return limits::shareRequestFromJson(*body); });
         const auto found = this->shares.find(message.workspace);
         if (found == this->shares.end()) {
             const limits::ShareGrant refusal{
@@ -137,7 +126,7 @@
     }
     if (const json::object *body = core::jsonObject(request, "endorse")) {
         const limits::EndorsementRequest message
-            = messageOrThrow([&] { return limits::endorsementRequestFromJson(*body); });
+            = core::valueOrThrow([&] { return limits::endorsementRequestFromJson(*body); });
         json::array endorsed;
         for (const std::string &workspace : message.workspaces) {
             // Only known workspaces are kept, which bounds the memory.
@@ -206,18 +195,22 @@
     const auto self = this->shared_from_this();
     asio::steady_timer timer(this->executor);
     while (!this->stopped) {
-        limits::EndorsementRequest request{.allocator = this->identity};
+        // One request per witness carries all workspaces that it is asked to support.
+        std::map<std::string, limits::EndorsementRequest> requests;
         if (this->surroundings.seesMajority()) {
+            const std::vector<std::string> members = this->surroundings.members();
             for (const auto &[workspace, share] : this->shares) {
-                if (this->surroundings.allocatorOf(workspace) == this->options.memberId) {
-                    request.workspaces.push_back(workspace);
+                if (this->surroundings.allocatorOf(workspace) != this->options.memberId) {
+                    continue;
+                }
+                for (const std::string &witness : limits::witnessesOf(workspace, members).members) {
+                    requests[witness].workspaces.push_back(workspace);
                 }
             }
         }
-        if (!request.workspaces.empty()) {
-            for (const std::string &member : this->surroundings.members()) {
-                asio::co_spawn(this->executor, this->seekEndorsement(member, request), asio::detached);
-            }
+        for (auto &[witness, request] : requests) {
+            request.allocator = this->identity;
+            asio::co_spawn(this->executor, this->seekEndorsement(witness, std::move(request)), asio::detached);
         }
         timer.expires_after(this->options.leasePeriod / RenewalsPerLease);
         boost::system::error_code cancelled;
@@ -241,7 +234,7 @@
     if (endorsed == nullptr || this->stopped) {
         co_return;
     }
-    const std::size_t memberCount = this->surroundings.members().size();
+    const std::vector<std::string> members = this->surroundings.members();
     for (const json::value &workspace : *endorsed) {
         if (!workspace.is_string()) {
             continue;
@@ -253,7 +246,8 @@
         }
         Share &share = *found->second;
         share.lease.endorsed(member, askedAt);
-        share.allocator.extendLease(share.lease.heldUntil(memberCount), core::Clock::now());
+        share.allocator.extendLease(share.lease.heldUntil(limits::witnessesOf(found->first, members)),
+                                    core::Clock::now());
     }
 }
 
@@ -268,7 +262,7 @@
         if (body == nullptr) {
             throw core::Error(core::ResultCode::MalformedRequest, "answer without a grant");
         }
-        const limits::ShareGrant grant = messageOrThrow([&] { return limits::shareGrantFromJson(*body); });
+        const limits::ShareGrant grant = core::valueOrThrow([&] { return limits::shareGrantFromJson(*body); });
         share->holder.onGrant(grant, core::Clock::now());
     } catch (const core::Error &) {
         share->holder.onFailure(request.sequence, core::Clock::now());
