Add the program measure

Change: measure starts one deployment per organisation and form, runs phases (idle, inside the rate, above the rate, key withdrawal, documents, contention for slots, faults of primaries, final state) and writes one JSON object. Workload gains a prefix of session names, so that two workloads on one database do not share request ids. Conclusion: figures that are not measured are null; limits on slots and connections are counted per phase.

--- /dev/null
+++ b/tests/tools/test_measurefigures.cpp
@@ -0,0 +1,64 @@
+#include "tools/fairshare.h"
+#include "tools/ratewindow.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace endiveshore::tools {
+
+namespace {
+
+std::vector<RunInterval> regular(int count, std::int64_t intervalUs, std::int64_t lengthUs)
+{
+    std::vector<RunInterval> result;
+    for (int index = 0; index < count; ++index) {
+        result.push_back({.startUs = index * intervalUs, .endUs = index * intervalUs + lengthUs});
+    }
+    return result;
+}
+
+}
+
+// Guards against reporting an excess for a load that keeps its rate.
+TEST(RateWindow, LoadAtTheRateHasNoExcess)
+{
+    EXPECT_EQ(largestExcess(regular(500, 10'000, 1'000), 100, 1), 0);
+}
+
+// Guards against missing an excess that shows only in a short window within a long quiet run.
+TEST(RateWindow, FindsAShortBurst)
+{
+    std::vector<RunInterval> requests = regular(100, 100'000, 1'000);
+    for (int index = 0; index < 30; ++index) {
+        requests.push_back({.startUs = 5'000'000, .endUs = 5'001'000});
+    }
+    EXPECT_NEAR(largestExcess(requests, 20, 10), 21 - 0.02, 0.01);
+}
+
+// Guards against counting a request for a window that it may have run outside of.
+TEST(RateWindow, CountsOnlyRequestsInsideTheWindow)
+{
+    const std::vector<RunInterval> requests{{.startUs = 0, .endUs = 10'000'000}, {.startUs = 0, .endUs = 10'000'000}};
+    EXPECT_EQ(largestExcess(requests, 1, 0), 0);
+}
+
+// Guards against an entitlement above the demand, or a remainder that is not divided.
+TEST(FairShare, DividesWhatOthersLeave)
+{
+    const std::vector<ShareDemand> demands{{.demand = 10, .weight = 1}, {.demand = 500, .weight = 1}, {200, 3}};
+    const std::vector<double> shares = fairShares(demands, 170);
+    ASSERT_EQ(shares.size(), 3U);
+    EXPECT_DOUBLE_EQ(shares[0], 10);
+    EXPECT_DOUBLE_EQ(shares[1], 40);
+    EXPECT_DOUBLE_EQ(shares[2], 120);
+}
+
+// Guards against handing out more than the demand while there is enough for all.
+TEST(FairShare, GivesEveryoneTheDemandIfThereIsEnough)
+{
+    const std::vector<ShareDemand> demands{{.demand = 10, .weight = 1}, {.demand = 20, .weight = 5}};
+    EXPECT_EQ(fairShares(demands, 100), (std::vector<double>{10, 20}));
+}
+
+}
--- /dev/null
+++ b/tools/fairshare.cpp
@@ -0,0 +1,42 @@
+#include "tools/fairshare.h"
+
+namespace endiveshore::tools {
+
+std::vector<double> fairShares(std::span<const ShareDemand> demands, double capacity)
+{
+    std::vector<double> shares(demands.size(), 0);
+    std::vector<bool> satisfied(demands.size(), false);
+    // Each round satisfies at least one demand or divides the rest, so it ends after one round per demand.
+    for (std::size_t round = 0; round <= demands.size(); ++round) {
+        double weights = 0;
+        double rest = capacity;
+        for (std::size_t index = 0; index < demands.size(); ++index) {
+            if (satisfied[index]) {
+                rest -= shares[index];
+            } else {
+                weights += demands[index].weight;
+            }
+        }
+        if (weights <= 0) {
+            break;
+        }
+        bool changed = false;
+        for (std::size_t index = 0; index < demands.size(); ++index) {
+            if (satisfied[index]) {
+                continue;
+            }
+            shares[index] = rest * demands[index].weight / weights;
+            if (shares[index] >= demands[index].demand) {
+                shares[index] = demands[index].demand;
+                satisfied[index] = true;
+                changed = true;
+            }
+        }
+        if (!changed) {
+            break;
+        }
+    }
+    return shares;
+}
+
+}
--- /dev/null
+++ b/tools/faultphase.cpp
@@ -0,0 +1,223 @@
+#include "tools/faultphase.h"
+
+#include "tools/loadthread.h"
+
+#include <algorithm>
+#include <csignal>
+
+namespace endiveshore::tools {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t DatabaseCount = 3;
+constexpr double ProbesPerSecond = 60;
+// Keeps the lists short that a probe write appends to.
+constexpr std::uint64_t ProbesPerKey = 40;
+constexpr core::Milliseconds ProbeTimeout{3'000};
+constexpr core::Milliseconds BeforeFault{1'500};
+constexpr core::Milliseconds FaultLength{4'500};
+constexpr core::Milliseconds AfterFault{2'500};
+// Answers that were under way when the fault began arrive within this time.
+constexpr std::int64_t InFlightUs = 1'000'000;
+constexpr core::Milliseconds LoadLimit{90'000};
+constexpr double WorkloadShare = 0.15;
+constexpr std::size_t ProbeWorkspace = 0;
+constexpr std::size_t GreedyWorkspace = 3;
+constexpr double GreedyFactor = 3;
+
+std::string probeKey(const std::string &database, std::uint64_t index)
+{
+    return database + ":probe-" + std::to_string(index / ProbesPerKey);
+}
+
+std::string probeValue(const std::string &database, std::uint64_t index)
+{
+    return database + "/probe/" + std::to_string(index);
+}
+
+EventOutcome eventOutcome(core::Outcome outcome)
+{
+    switch (outcome) {
+    case core::Outcome::Done:
+        return EventOutcome::Done;
+    case core::Outcome::NotRun:
+        return EventOutcome::NotRun;
+    case core::Outcome::Unknown:
+        break;
+    }
+    return EventOutcome::Unknown;
+}
+
+}
+
+FaultPhase::FaultPhase(MeasureContext &context, bool allFaults)
+    : context(context)
+    , allFaults(allFaults)
+{
+}
+
+json::array FaultPhase::run()
+{
+    static constexpr Fault FaultTable[] = {
+        {"killed", 0, &FaultPhase::kill, &FaultPhase::leave},
+        {"paused_and_resumed", 1, &FaultPhase::pause, &FaultPhase::resume},
+        {"cut_one_way", 2, &FaultPhase::cutOneWay, &FaultPhase::heal},
+        {"cut_both_ways", 1, &FaultPhase::cutBothWays, &FaultPhase::heal},
+    };
+    LoadThread thread;
+    std::vector<OpenStream> streams;
+    for (std::size_t database = 0; database < DatabaseCount; ++database) {
+        streams.push_back(this->probeStream(database));
+    }
+    OpenStream greedy = this->context.stream(GreedyWorkspace, this->context.plans[GreedyWorkspace].rate * GreedyFactor);
+    greedy.body = [this](std::uint64_t index) { return this->context.readBody(index, "availability"); };
+    streams.push_back(std::move(greedy));
+    const auto load = this->context.startableLoad(thread.executor(), std::move(streams), LoadLimit, ProbeTimeout);
+    const auto workload = this->context.startableWorkload(thread.executor(), "faulted-", WorkloadShare, LoadLimit);
+    std::future<void> loadEnd = thread.spawn(load->run());
+    std::future<void> workloadEnd = thread.spawn(workload->run());
+    for (const Fault &fault : FaultTable) {
+        this->inject(fault);
+        if (!this->allFaults) {
+            break;
+        }
+    }
+    thread.post([load, workload] {
+        load->stop();
+        workload->stop();
+    });
+    loadEnd.get();
+    workloadEnd.get();
+    this->context.histories.push_back(workload->history());
+    this->context.noteRate(GreedyWorkspace, load->records(), DatabaseCount);
+    this->recordProbes(*load);
+    return this->gaps(*load);
+}
+
+void FaultPhase::inject(const Fault &fault)
+{
+    std::this_thread::sleep_for(BeforeFault);
+    const int primary = this->context.primaryOf(fault.database);
+    if (primary < 0) {
+        this->context.note(std::string(fault.name) + ": no primary to inject the fault into");
+        return;
+    }
+    const auto server = static_cast<std::size_t>(primary);
+    Window window{.fault = &fault, .startUs = this->context.now()};
+    (this->*fault.begin)(fault.database, server);
+    std::this_thread::sleep_for(FaultLength);
+    (this->*fault.end)(fault.database, server);
+    std::this_thread::sleep_for(AfterFault);
+    window.endUs = this->context.now();
+    this->windows.push_back(window);
+}
+
+void FaultPhase::kill(std::size_t database, std::size_t server)
+{
+    this->context.deployment.server(database, server).sendSignal(SIGKILL);
+}
+
+void FaultPhase::pause(std::size_t database, std::size_t server)
+{
+    this->context.deployment.server(database, server).sendSignal(SIGSTOP);
+}
+
+void FaultPhase::resume(std::size_t database, std::size_t server)
+{
+    this->context.deployment.server(database, server).sendSignal(SIGCONT);
+}
+
+void FaultPhase::cutOneWay(std::size_t database, std::size_t server)
+{
+    this->context.deployment.setServerFault(database, server, {{"cut", "from_target"}});
+}
+
+void FaultPhase::cutBothWays(std::size_t database, std::size_t server)
+{
+    this->context.deployment.setServerFault(database, server, {{"cut", "both"}});
+}
+
+void FaultPhase::heal(std::size_t database, std::size_t server)
+{
+    this->context.deployment.setServerFault(database, server, {{"cut", "none"}});
+}
+
+void FaultPhase::leave(std::size_t, std::size_t)
+{
+}
+
+OpenStream FaultPhase::probeStream(std::size_t database) const
+{
+    OpenStream stream = this->context.stream(ProbeWorkspace, ProbesPerSecond);
+    const std::string name = this->context.deployment.databaseName(database);
+    stream.name = name;
+    stream.body = [name](std::uint64_t index) -> json::object {
+        const std::string value = probeValue(name, index);
+        return {{"database", name},
+                {"route", "book"},
+                {"request_id", value},
+                {"statement", json::object{{"op", "append"}, {"key", probeKey(name, index)}, {"value", value}}}};
+    };
+    return stream;
+}
+
+void FaultPhase::recordProbes(const OpenLoad &load)
+{
+    std::vector<HistoryEvent> events;
+    for (const OpenRecord &record : load.records()) {
+        if (record.stream >= DatabaseCount) {
+            continue;
+        }
+        const std::string name = this->context.deployment.databaseName(record.stream);
+        HistoryEvent event;
+        event.kind = EventKind::Write;
+        event.outcome = eventOutcome(record.outcome);
+        event.session = "probe-" + name + "-" + std::to_string(record.index);
+        event.workspace = this->context.plans[ProbeWorkspace].name;
+        event.key = probeKey(name, record.index);
+        event.value = probeValue(name, record.index);
+        event.startUs = record.startUs;
+        event.endUs = record.endUs;
+        event.term = record.term;
+        event.position = record.position;
+        event.code = record.code;
+        events.push_back(std::move(event));
+    }
+    this->context.histories.push_back(std::move(events));
+}
+
+json::array FaultPhase::gaps(const OpenLoad &load) const
+{
+    json::array result;
+    for (const Window &window : this->windows) {
+        std::vector<std::int64_t> acknowledged;
+        for (const OpenRecord &record : load.records()) {
+            if (record.stream == window.fault->database && record.outcome == core::Outcome::Done) {
+                acknowledged.push_back(record.endUs);
+            }
+        }
+        std::sort(acknowledged.begin(), acknowledged.end());
+        // Answers under way still arrive after the fault, so the gap is the longest silence that ends after its start.
+        std::int64_t longest = 0;
+        for (std::size_t index = 1; index < acknowledged.size(); ++index) {
+            const std::int64_t end = acknowledged[index];
+            const std::int64_t begin = acknowledged[index - 1];
+            if (end > window.startUs && begin < window.endUs) {
+                longest = std::max(longest, end - begin);
+            }
+        }
+        const bool resumed = !acknowledged.empty() && acknowledged.back() > window.startUs + InFlightUs;
+        json::value gap;
+        if (resumed && longest > 0) {
+            gap = static_cast<double>(longest) / 1000;
+        }
+        result.push_back(json::object{{"fault", window.fault->name},
+                                      {"database", this->context.deployment.databaseName(window.fault->database)},
+                                      {"gap_ms", gap}});
+    }
+    return result;
+}
+
+}
--- /dev/null
+++ b/tools/main_measure.cpp
@@ -0,0 +1,127 @@
+#include "tools/measurement.h"
+#include "tools/measurereport.h"
+
+#include <boost/program_options.hpp>
+
+#include <ctime>
+#include <fstream>
+#include <iostream>
+
+namespace {
+
+namespace json = boost::json;
+namespace programOptions = boost::program_options;
+
+using endiveshore::tools::MeasureReport;
+
+// A deployment uses about 500 ports.
+constexpr int PortsPerDeployment = 500;
+constexpr int StartAttempts = 3;
+
+std::string dateOfToday()
+{
+    const std::time_t now = std::time(nullptr);
+    std::tm parts{};
+    gmtime_r(&now, &parts);
+    char text[16];
+    const std::size_t length = std::strftime(text, sizeof text, "%Y-%m-%d", &parts);
+    return std::string(text, length);
+}
+
+/// Measures both organisations in one form of the proxy.
+json::object
+measureForm(const programOptions::variables_map &flags, bool naive, json::array &phases, json::array &notes)
+{
+    const endiveshore::tools::OrganisationProfile profiles[] = {
+        {.service = "rota-db", .connectionLimit = 30, .connectMs = 10},
+        {.service = "cover-ledger", .connectionLimit = 55, .connectMs = 30},
+    };
+    MeasureReport report;
+    for (const endiveshore::tools::OrganisationProfile &profile : profiles) {
+        const std::string form = naive ? "baseline" : "endiveshore";
+        std::cout << "measuring " << profile.service << ", " << form << std::endl;
+        endiveshore::tools::MeasurementOptions options;
+        options.binaryDirectory = flags["binaries"].as<std::string>();
+        options.workDirectory = flags["work"].as<std::string>() + "/" + profile.service + "-" + form;
+        options.profile = profile;
+        options.seed = flags["seed"].as<std::uint64_t>();
+        options.naive = naive;
+        json::object figures;
+        // Other programs may use single ports of the range, for example for outgoing connections.
+        for (int attempt = 0; attempt < StartAttempts && !figures.contains("phases"); ++attempt) {
+            options.basePort = basePort;
+            basePort += PortsPerDeployment;
+            try {
+                endiveshore::tools::Measurement measurement(options);
+                figures = measurement.run();
+            } catch (const std::exception &error) {
+                figures["notes"] = json::array{std::string("not measured: ") + error.what()};
+            }
+        }
+        if (const json::value *list = figures.if_contains("phases")) {
+            for (json::value phase : list->as_array()) {
+                phase.as_object()["service"] = profile.service;
+                phase.as_object()["form"] = form;
+                phases.push_back(std::move(phase));
+            }
+        }
+        for (const json::value &note : figures["notes"].as_array()) {
+            notes.emplace_back(profile.service + ", " + form + ": " + note.as_string().c_str());
+        }
+        figures.erase("phases");
+        figures.erase("notes");
+        report.add(profile.service, figures);
+    }
+    return report.toJson();
+}
+
+}
+
+/// Measures the proxy and its baseline with the workloads and faults of both organisations on real processes.
+int main(int argumentCount, char **arguments)
+{
+    programOptions::options_description description("measure");
+    description.add_options()("help", "Shows the flags.")(
+        "seed", programOptions::value<std::uint64_t>()->default_value(1), "Seed of all choices.")(
+        "out", programOptions::value<std::string>()->required(), "File for the figures, as JSON.")(
+        "binaries", programOptions::value<std::string>()->required(), "Folder of the programs.")(
+        "work", programOptions::value<std::string>()->required(), "Folder for logs and documents.")(
+        "base-port",
+        programOptions::value<int>()->default_value(24'000),
+        "First port on loopback; 500 per deployment.")("no-baseline", "Leaves the baseline out.");
+    programOptions::variables_map flags;
+    try {
+        programOptions::store(programOptions::parse_command_line(argumentCount, arguments, description), flags);
+        if (flags.contains("help")) {
+            std::cout << description;
+            return 0;
+        }
+        programOptions::notify(flags);
+    } catch (const programOptions::error &error) {
+        std::cerr << "measure: " << error.what() << '\n';
+        return 2;
+    }
+    int basePort = flags["base-port"].as<int>();
+    json::array phases;
+    json::array notes;
+    json::object result = measureForm(flags, false, basePort, phases, notes);
+    json::object baseline;
+    if (!flags.contains("no-baseline")) {
+        baseline = measureForm(flags, true, basePort, phases, notes);
+    }
+    notes.emplace_back("pools_unshared: the daemon has no flag for unshared pools, so it is not measured");
+    notes.emplace_back("control_bytes_per_s: the counters that the status of a daemon offers, largest daemon");
+    notes.emplace_back("failover_gap_ms: the ledger of a killed server is gone; the baseline has only the kill");
+    MeasureReport::print(std::cout, result, baseline);
+    for (const json::value &note : notes) {
+        std::cout << "note: " << note.as_string().c_str() << '\n';
+    }
+    result["baseline"] = std::move(baseline);
+    result["seed"] = flags["seed"].as<std::uint64_t>();
+    result["date"] = dateOfToday();
+    result["phases"] = std::move(phases);
+    result["notes"] = std::move(notes);
+    std::ofstream file(flags["out"].as<std::string>());
+    file << json::serialize(result) << '\n';
+    return file.good() ? 0 : 1;
+}
--- /dev/null
+++ b/tools/measurement.cpp
@@ -0,0 +1,559 @@
+#include "tools/measurement.h"
+
+#include "core/error.h"
+#include "core/hashing.h"
+#include "core/json.h"
+#include "tools/blockinghttp.h"
+#include "tools/fairshare.h"
+#include "tools/faultphase.h"
+#include "tools/historychecker.h"
+#include "tools/loadthread.h"
+
+#include <algorithm>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <map>
+#include <set>
+
+namespace endiveshore::tools {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t DatabaseCount = 3;
+constexpr std::size_t ServerCount = 3;
+constexpr std::chrono::milliseconds SettleTime{2'000};
+constexpr std::chrono::milliseconds IdleTime{5'000};
+constexpr core::Milliseconds InsideRateTime{8'000};
+constexpr core::Milliseconds AboveRateTime{5'000};
+constexpr core::Milliseconds FairnessTime{9'000};
+constexpr core::Milliseconds FairnessTimeout{2'000};
+// The queues fill and the first deadlines pass before the shares are counted.
+constexpr std::int64_t FairnessWarmUpUs = 2'500'000;
+constexpr std::chrono::milliseconds ConfigurationTimeout{10'000};
+constexpr std::chrono::milliseconds ProbePause{5};
+constexpr double HistoryRateShare = 0.2;
+constexpr double OpenRateShare = 0.6;
+constexpr double FirstDaemonShare = 0.9;
+constexpr double AboveRateFactor = 3;
+constexpr double GreedyFactor = 5;
+constexpr double LoweredRateDivisor = 4;
+// Makes the slots of three primaries the bottleneck: 15 slots give about 125 statements per second.
+constexpr int SlowStatementMs = 120;
+constexpr int StatementMs = 2;
+constexpr std::size_t GreedyWorkspace = 0;
+constexpr std::size_t WithdrawnWorkspace = 7;
+constexpr std::size_t LinesPerViolation = 5;
+
+DeploymentOptions deploymentOptions(const MeasurementOptions &options)
+{
+    DeploymentOptions result;
+    result.binaryDirectory = options.binaryDirectory;
+    result.workDirectory = options.workDirectory;
+    result.basePort = options.basePort;
+    result.service = options.profile.service;
+    result.connectionLimit = options.profile.connectionLimit;
+    result.connectMs = options.profile.connectMs;
+    result.statementMs = StatementMs;
+    result.workspaces = workspacesJson(workspacePlans());
+    if (options.naive) {
+        result.daemonFlags = {"--rate-mode", "static", "--read-policy", "primary", "--config-mode", "direct"};
+    }
+    return result;
+}
+
+double number(const json::object &object, std::string_view key)
+{
+    const json::value *value = object.if_contains(key);
+    return value != nullptr && value->is_number() ? value->to_number<double>() : 0;
+}
+
+/// Sum of all counters of the daemon's status that count bytes.
+double controlBytes(const json::object &status)
+{
+    double sum = 0;
+    for (const auto &[key, value] : status) {
+        if (std::string_view(key).ends_with("_bytes") && value.is_number()) {
+            sum += value.to_number<double>();
+        }
+    }
+    return sum;
+}
+
+double secondsSince(core::TimePoint start)
+{
+    return std::chrono::duration<double>(core::Clock::now() - start).count();
+}
+
+}
+
+Measurement::Measurement(MeasurementOptions options)
+    : options(std::move(options))
+    , deployment(deploymentOptions(this->options))
+    , context(this->deployment, this->options.profile.service, this->options.seed, this->options.naive)
+{
+}
+
+json::object Measurement::run()
+{
+    static constexpr Phase Phases[] = {
+        {"idle", &Measurement::idle},
+        {"inside_rate", &Measurement::insideRate},
+        {"above_rate", &Measurement::aboveRate},
+        {"key_withdrawal", &Measurement::keyWithdrawal},
+        {"lower_rates", &Measurement::lowerRates},
+        {"fairness", &Measurement::fairness},
+        {"restore_rates", &Measurement::restoreRates},
+        {"faults", &Measurement::faults},
+        {"final_state", &Measurement::finalState},
+    };
+    const core::TimePoint begin = core::Clock::now();
+    this->deployment.start();
+    this->phases.push_back(json::object{{"name", "start"}, {"seconds", secondsSince(begin)}});
+    for (const Phase &phase : Phases) {
+        const core::TimePoint start = core::Clock::now();
+        try {
+            (this->*phase.run)();
+        } catch (const core::Error &error) {
+            this->context.note(std::string(phase.name) + ": " + error.message);
+        } catch (const std::exception &error) {
+            this->context.note(std::string(phase.name) + ": " + error.what());
+        }
+        const double seconds = secondsSince(start);
+        json::object entry{{"name", phase.name}, {"seconds", seconds}};
+        entry["violations"] = this->limitViolations();
+        std::cout << "  " << this->options.profile.service << (this->options.naive ? " baseline " : " ") << phase.name
+                  << ' ' << std::setprecision(3) << seconds << " s " << json::serialize(entry["violations"])
+                  << std::endl;
+        this->phases.push_back(std::move(entry));
+    }
+    for (std::size_t daemon = 0; daemon < this->deployment.daemonCount(); ++daemon) {
+        if (!this->deployment.daemon(daemon).isRunning()) {
+            this->context.note(this->deployment.daemonName(daemon) + " ended during the run");
+        }
+    }
+    const std::uint64_t reads = this->context.replicaReads + this->context.primaryReads;
+    this->figures["replica_reads"] = this->context.replicaReads;
+    this->figures["reads"] = reads;
+    this->figures["over_rate"] = this->context.largestRateExcess;
+    this->figures["phases"] = this->phases;
+    this->figures["notes"] = this->context.notes;
+    return this->figures;
+}
+
+void Measurement::idle()
+{
+    std::this_thread::sleep_for(SettleTime);
+    const std::size_t daemons = this->deployment.daemonCount();
+    std::vector<json::object> before;
+    for (std::size_t daemon = 0; daemon < daemons; ++daemon) {
+        before.push_back(this->deployment.daemonStatus(daemon));
+    }
+    const json::object storeBefore = getJson(this->deployment.storePort(), "/standin/stats");
+    const core::TimePoint start = core::Clock::now();
+    std::this_thread::sleep_for(IdleTime);
+    const json::object storeAfter = getJson(this->deployment.storePort(), "/standin/stats");
+    const double seconds = secondsSince(start);
+    double largestCpu = 0;
+    double largestBytes = 0;
+    double largestMemory = 0;
+    for (std::size_t daemon = 0; daemon < daemons; ++daemon) {
+        const json::object after = this->deployment.daemonStatus(daemon);
+        const double cpu = number(after, "control_cpu_s") - number(before[daemon], "control_cpu_s");
+        largestCpu = std::max(largestCpu, cpu / seconds);
+        largestBytes = std::max(largestBytes, (controlBytes(after) - controlBytes(before[daemon])) / seconds);
+        largestMemory = std::max(largestMemory, this->residentMegabytes(daemon));
+    }
+    this->figures["control_cpu_share"] = largestCpu;
+    this->figures["control_rss_mb"] = largestMemory;
+    this->figures["control_bytes_per_s"] = largestBytes;
+    this->figures["store_calls_per_s"]
+        = (number(storeAfter, "calls_total") - number(storeBefore, "calls_total")) / seconds;
+    this->figures["store_open_watches"] = number(storeAfter, "open_watches");
+}
+
+void Measurement::insideRate()
+{
+    LoadThread thread;
+    std::vector<OpenStream> streams;
+    for (std::size_t workspace = 0; workspace < this->context.plans.size(); ++workspace) {
+        OpenStream stream = this->context.stream(workspace, this->context.plans[workspace].rate * OpenRateShare);
+        stream.firstDaemonShare = FirstDaemonShare;
+        stream.body = [this](std::uint64_t index) {
+            return this->context.readBody(index, index % 2 == 0 ? "availability" : "own-bookings");
+        };
+        streams.push_back(std::move(stream));
+    }
+    const auto load = this->context.startableLoad(thread.executor(), std::move(streams), InsideRateTime);
+    const auto workload = this->context.startableWorkload(thread.executor(), "calm-", HistoryRateShare, InsideRateTime);
+    std::future<void> loadEnd = thread.spawn(load->run());
+    std::future<void> workloadEnd = thread.spawn(workload->run());
+    loadEnd.get();
+    workloadEnd.get();
+    std::map<int, std::uint64_t> refusals;
+    std::uint64_t refused = 0;
+    std::uint64_t offered = load->records().size();
+    for (const OpenRecord &record : load->records()) {
+        if (record.outcome == core::Outcome::Done) {
+            ++(record.role == "replica" ? this->context.replicaReads : this->context.primaryReads);
+            continue;
+        }
+        ++refusals[record.code];
+        refused += record.outcome == core::Outcome::NotRun ? 1 : 0;
+    }
+    for (const HistoryEvent &event : workload->history()) {
+        ++offered;
+        if (event.outcome != EventOutcome::Done) {
+            ++refusals[event.code];
+            refused += event.outcome == EventOutcome::NotRun ? 1 : 0;
+        }
+    }
+    this->context.replicaReads += workload->replicaReads();
+    this->context.primaryReads += workload->primaryReads();
+    this->context.histories.push_back(workload->history());
+    this->figures["offered_inside_rate"] = offered;
+    this->figures["refusals_inside_rate"] = refused;
+    json::object codes;
+    for (const auto &[code, count] : refusals) {
+        codes[std::to_string(code)] = count;
+    }
+    this->figures["failures_inside_rate_by_code"] = std::move(codes);
+    if (load->dropped() > 0) {
+        this->context.note("inside_rate: " + std::to_string(load->dropped())
+                           + " requests were not sent, too many waited for an answer");
+    }
+}
+
+void Measurement::aboveRate()
+{
+    LoadThread thread;
+    const std::vector<std::size_t> workspaces{1, 3, 4};
+    std::vector<OpenStream> streams;
+    for (const std::size_t workspace : workspaces) {
+        OpenStream stream = this->context.stream(workspace, this->context.plans[workspace].rate * AboveRateFactor);
+        stream.body = [this](std::uint64_t index) { return this->context.readBody(index, "availability"); };
+        streams.push_back(std::move(stream));
+    }
+    const auto load = this->context.startableLoad(thread.executor(), std::move(streams), AboveRateTime);
+    thread.spawn(load->run()).get();
+    for (std::size_t index = 0; index < workspaces.size(); ++index) {
+        this->context.noteRate(workspaces[index], load->records(), index);
+    }
+}
+
+void Measurement::keyWithdrawal()
+{
+    std::string output;
+    const std::string workspace = this->context.plans[WithdrawnWorkspace].name;
+    if (this->deployment.runOperator({"--json", "grant", this->options.profile.service, workspace}, &output) != 0) {
+        this->context.note("key_withdrawal: grant: " + output);
+        return;
+    }
+    const std::string key = json::parse(output).at("key").as_string().c_str();
+    this->context.extraKeys.push_back(key);
+    boost::asio::io_context loop(1);
+    CallerClient client(loop.get_executor(), this->options.profile.service, key);
+    const auto answerCode = [&](std::size_t daemon) {
+        loop.restart();
+        auto answer = boost::asio::co_spawn(loop,
+                                            client.statement(this->deployment.callerPort(daemon),
+                                                             this->context.readBody(0, "availability"),
+                                                             core::Milliseconds(1'000)),
+                                            boost::asio::use_future);
+        loop.run();
+        return answer.get().code;
+    };
+    for (std::size_t daemon = 0; daemon < this->deployment.daemonCount(); ++daemon) {
+        if (!Deployment::waitUntil([&] { return answerCode(daemon) == 0; }, ConfigurationTimeout)) {
+            this->context.note("key_withdrawal: the new key does not work at " + this->deployment.daemonName(daemon));
+            return;
+        }
+    }
+    const core::TimePoint start = core::Clock::now();
+    std::future<int> command = std::async(std::launch::async, [this, &key] {
+        return this->deployment.runOperator({"revoke", core::sha256Hex(key)});
+    });
+    std::set<std::size_t> accepting;
+    for (std::size_t daemon = 0; daemon < this->deployment.daemonCount(); ++daemon) {
+        accepting.insert(daemon);
+    }
+    constexpr int Rejected = static_cast<int>(core::ResultCode::KeyRejected);
+    const bool stopped = Deployment::waitUntil(
+        [&] {
+            std::erase_if(accepting, [&](std::size_t daemon) { return answerCode(daemon) == Rejected; });
+            return accepting.empty();
+        },
+        ConfigurationTimeout);
+    if (stopped) {
+        this->figures["key_withdrawal_ms"] = secondsSince(start) * 1000;
+    } else {
+        this->context.note("key_withdrawal: " + std::to_string(accepting.size()) + " daemons still accept the key");
+    }
+    command.get();
+}
+
+void Measurement::lowerRates()
+{
+    std::vector<WorkspacePlan> plans = this->context.plans;
+    for (WorkspacePlan &plan : plans) {
+        plan.rate /= LoweredRateDivisor;
+        plan.burst = plan.rate;
+    }
+    this->acceptPlans(std::move(plans));
+}
+
+void Measurement::restoreRates()
+{
+    this->acceptPlans(workspacePlans());
+}
+
+void Measurement::acceptPlans(std::vector<WorkspacePlan> plans)
+{
+    std::string output;
+    if (this->deployment.runOperator({"--json", "show", this->options.profile.service}, &output) != 0) {
+        throw std::runtime_error("show: " + output);
+    }
+    json::object document = json::parse(output).as_object();
+    if (const json::object *inner = core::jsonObject(document, "document")) {
+        json::object copy = *inner;
+        if (document.contains("revision") && !copy.contains("revision")) {
+            copy["revision"] = document["revision"];
+        }
+        document = std::move(copy);
+    }
+    document["workspaces"] = workspacesJson(plans);
+    const std::string file = this->deployment.workDirectory() + "/changed.json";
+    std::ofstream(file) << json::serialize(document);
+    const json::object store = getJson(this->deployment.storePort(), "/standin/stats");
+    const std::int64_t before = core::jsonInteger(store, "revision");
+    const core::TimePoint start = core::Clock::now();
+    std::future<int> command = std::async(std::launch::async, [this, &file, &output] {
+        return this->deployment.runOperator({"accept", file}, &output);
+    });
+    const bool inForce = Deployment::waitUntil(
+        [&] {
+            for (std::size_t daemon = 0; daemon < this->deployment.daemonCount(); ++daemon) {
+                if (core::jsonInteger(this->deployment.daemonStatus(daemon), "revision") <= before) {
+                    return false;
+                }
+            }
+            return true;
+        },
+        ConfigurationTimeout);
+    const double elapsed = secondsSince(start) * 1000;
+    const int exitCode = command.get();
+    if (exitCode != 0) {
+        this->context.note("accept ended with " + std::to_string(exitCode) + ": " + output);
+    }
+    if (!inForce) {
+        this->context.note("accept: the document was not in force everywhere within 10 s");
+        return;
+    }
+    this->figures["document_in_force_ms"] = std::max(number(this->figures, "document_in_force_ms"), elapsed);
+    this->context.plans = std::move(plans);
+}
+
+void Measurement::fairness()
+{
+    this->setStatementTime(SlowStatementMs);
+    LoadThread thread;
+    std::vector<OpenStream> streams;
+    const std::vector<WorkspacePlan> &plans = this->context.plans;
+    for (std::size_t workspace = 0; workspace < plans.size(); ++workspace) {
+        const double factor = workspace == GreedyWorkspace ? GreedyFactor : 1;
+        OpenStream stream = this->context.stream(workspace, plans[workspace].rate * factor);
+        stream.body = [this](std::uint64_t index) { return this->context.readBody(index, "exact"); };
+        streams.push_back(std::move(stream));
+    }
+    const std::int64_t start = this->context.now() + FairnessWarmUpUs;
+    const std::int64_t end = this->context.now() + core::toMilliseconds(FairnessTime) * 1000;
+    const auto load = this->context.startableLoad(thread.executor(), std::move(streams), FairnessTime, FairnessTimeout);
+    thread.spawn(load->run()).get();
+    this->setStatementTime(StatementMs);
+    std::vector<double> served(plans.size(), 0);
+    for (const OpenRecord &record : load->records()) {
+        if (record.outcome == core::Outcome::Done && record.endUs >= start && record.endUs < end) {
+            served[record.stream] += 1e6 / static_cast<double>(end - start);
+        }
+    }
+    double capacity = 0;
+    std::vector<ShareDemand> demands;
+    for (std::size_t workspace = 0; workspace < plans.size(); ++workspace) {
+        capacity += served[workspace];
+        demands.push_back({.demand = plans[workspace].rate, .weight = plans[workspace].weight});
+        this->context.noteRate(workspace, load->records(), workspace);
+    }
+    const std::vector<double> entitled = fairShares(demands, capacity);
+    json::array shares;
+    double worst = -1;
+    for (std::size_t workspace = 0; workspace < plans.size(); ++workspace) {
+        shares.push_back(json::object{{"workspace", plans[workspace].name},
+                                      {"served_per_s", served[workspace]},
+                                      {"entitled_per_s", entitled[workspace]}});
+        if (workspace == GreedyWorkspace || entitled[workspace] <= 0) {
+            continue;
+        }
+        const double ratio = served[workspace] / entitled[workspace];
+        worst = worst < 0 ? ratio : std::min(worst, ratio);
+    }
+    this->figures["shares_under_contention"] = std::move(shares);
+    if (worst >= 0) {
+        this->figures["worst_workspace_ratio"] = worst;
+    }
+}
+
+void Measurement::faults()
+{
+    FaultPhase phase(this->context, !this->options.naive);
+    const json::array gaps = phase.run();
+    json::array values;
+    for (const json::value &gap : gaps) {
+        values.push_back(gap.at("gap_ms"));
+    }
+    this->figures["failover_gap_ms"] = std::move(values);
+    this->figures["failover_gaps"] = gaps;
+}
+
+void Measurement::finalState()
+{
+    const std::vector<HistoryEvent> state = this->finalReads();
+    const std::pair<std::string_view, std::vector<std::string> HistoryReport::*> lists[] = {
+        {"lost_writes", &HistoryReport::lostWrites},
+        {"doubled_writes", &HistoryReport::doubledWrites},
+        {"stale_session_reads", &HistoryReport::staleSessionReads},
+        {"false_not_run", &HistoryReport::falseNotRun},
+        {"crossed_answers", &HistoryReport::crossedAnswers},
+        {"split_transactions", &HistoryReport::splitTransactions},
+        {"term_violations", &HistoryReport::termViolations},
+    };
+    std::map<std::string_view, std::size_t> counts;
+    std::uint64_t events = 0;
+    std::uint64_t acknowledged = 0;
+    for (std::vector<HistoryEvent> history : this->context.histories) {
+        events += history.size();
+        std::set<std::string> keys;
+        for (const HistoryEvent &event : history) {
+            keys.insert(event.key);
+            keys.insert(event.secondKey);
+            const bool write = event.kind != EventKind::Read;
+            acknowledged += write && event.outcome == EventOutcome::Done ? 1 : 0;
+        }
+        for (const HistoryEvent &event : state) {
+            if (keys.contains(event.key)) {
+                history.push_back(event);
+            }
+        }
+        const HistoryReport report = checkHistory(history);
+        for (const auto &[name, list] : lists) {
+            counts[name] += (report.*list).size();
+            for (std::size_t line = 0; line < std::min((report.*list).size(), LinesPerViolation); ++line) {
+                this->context.note(std::string(name) + ": " + (report.*list)[line]);
+            }
+        }
+    }
+    for (const auto &[name, list] : lists) {
+        this->figures[name] = counts[name];
+    }
+    this->figures["requests_checked"] = events;
+    this->figures["acknowledged_writes"] = acknowledged;
+    for (std::size_t database = 0; database < DatabaseCount; ++database) {
+        for (std::size_t server = 0; server < ServerCount; ++server) {
+            if (this->deployment.server(database, server).isRunning()) {
+                this->context.readLedger(database, server);
+            }
+        }
+    }
+    this->figures["slot_violations"] = this->context.slotViolations;
+    this->figures["connection_violations"] = this->context.connectionViolations;
+    this->figures["keys_seen_by_servers"] = this->context.keysSeen;
+}
+
+std::vector<HistoryEvent> Measurement::finalReads()
+{
+    std::set<std::string> keys;
+    for (const std::vector<HistoryEvent> &history : this->context.histories) {
+        for (const HistoryEvent &event : history) {
+            keys.insert(event.key);
+            keys.insert(event.secondKey);
+        }
+    }
+    keys.erase(std::string());
+    std::vector<HistoryEvent> state;
+    for (std::size_t database = 0; database < DatabaseCount; ++database) {
+        const int primary = this->context.primaryOf(database);
+        if (primary < 0) {
+            this->context.note("final_state: " + this->deployment.databaseName(database) + " has no primary");
+            continue;
+        }
+        const int port = this->deployment.databasePort(database, static_cast<std::size_t>(primary));
+        for (const std::string &key : keys) {
+            if (databaseOfKey(key) != this->deployment.databaseName(database)) {
+                continue;
+            }
+            const json::object answer = postJson(
+                port,
+                "/statement",
+                {{"term", 0}, {"read_only", true}, {"statement", json::object{{"op", "get"}, {"key", key}}}});
+            HistoryEvent event;
+            event.kind = EventKind::Final;
+            event.outcome = EventOutcome::Done;
+            event.key = key;
+            const json::value *values = answer.if_contains("result");
+            if (values != nullptr && values->is_array()) {
+                for (const json::value &value : values->as_array()) {
+                    event.seen.emplace_back(value.is_string() ? value.as_string().c_str() : json::serialize(value));
+                }
+            }
+            state.push_back(std::move(event));
+        }
+    }
+    return state;
+}
+
+void Measurement::setStatementTime(int milliseconds)
+{
+    for (std::size_t database = 0; database < DatabaseCount; ++database) {
+        for (std::size_t server = 0; server < ServerCount; ++server) {
+            postJson(this->deployment.databasePort(database, server), "/control", {{"statement_ms", milliseconds}});
+        }
+    }
+}
+
+json::object Measurement::limitViolations()
+{
+    json::object result;
+    for (std::size_t database = 0; database < DatabaseCount; ++database) {
+        for (std::size_t server = 0; server < ServerCount; ++server) {
+            if (!this->deployment.server(database, server).isRunning()) {
+                continue;
+            }
+            const json::object ledger = getJson(this->deployment.databasePort(database, server), "/ledger?limit=0");
+            const std::int64_t slots = core::jsonInteger(ledger, "slot_violations");
+            const std::int64_t connections = core::jsonInteger(ledger, "connection_violations");
+            if (slots + connections > 0) {
+                result[this->deployment.serverName(database, server)]
+                    = json::object{{"slots", slots},
+                                   {"connections", connections},
+                                   {"peak_connections", core::jsonInteger(ledger, "peak_connections")}};
+            }
+        }
+    }
+    return result;
+}
+
+double Measurement::residentMegabytes(std::size_t daemon)
+{
+    std::ifstream status("/proc/" + std::to_string(this->deployment.daemon(daemon).processId()) + "/status");
+    for (std::string word; status >> word;) {
+        if (word == "VmRSS:") {
+            double kilobytes = 0;
+            status >> kilobytes;
+            return kilobytes / 1024;
+        }
+    }
+    return 0;
+}
+
+}
--- /dev/null
+++ b/tools/ratewindow.cpp
@@ -0,0 +1,36 @@
+#include "tools/ratewindow.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace endiveshore::tools {
+
+namespace {
+
+constexpr double MicrosecondsPerSecond = 1e6;
+
+}
+
+double largestExcess(std::span<const RunInterval> requests, double ratePerSecond, double burst)
+{
+    std::vector<RunInterval> byEnd(requests.begin(), requests.end());
+    std::sort(byEnd.begin(), byEnd.end(), [](const RunInterval &left, const RunInterval &right) {
+        return left.endUs < right.endUs;
+    });
+    // A window that cannot be improved begins at the start of a request and ends at the end of one.
+    double largest = 0;
+    for (const RunInterval &first : byEnd) {
+        std::int64_t count = 0;
+        for (const RunInterval &request : byEnd) {
+            if (request.startUs < first.startUs) {
+                continue;
+            }
+            ++count;
+            const double seconds = static_cast<double>(request.endUs - first.startUs) / MicrosecondsPerSecond;
+            largest = std::max(largest, static_cast<double>(count) - ratePerSecond * seconds - burst);
+        }
+    }
+    return largest;
+}
+
+}
--- a/tools/workload.cpp
+++ b/tools/workload.cpp
@@ -65,7 +65,7 @@
             const std::string &database = this->options.databases[number % this->options.databases.size()];
             auto session = std::make_shared<Session>(
                 this->executor, this->options.service, load.key, this->options.seed * 1000 + number);
-            session->name = "session-" + std::to_string(number);
+            session->name = this->options.sessionPrefix + std::to_string(number);
             session->key = database + ":" + session->name;
             session->secondKey = database + ":" + session->name + "-second";
             session->workspace = workspace;
--- a/tools/workload.h
+++ b/tools/workload.h
@@ -35,6 +35,7 @@
     double staleReadShare = 0.4; ///< Of the reads: those on the route with an accepted age.
     double firstDaemonShare = 0; ///< Share of requests sent to the first daemon; the rest is spread evenly.
     std::uint64_t seed = 1;
+    std::string sessionPrefix = "session-"; ///< Two workloads on the same databases need different ones.
     int attempts = 1; ///< Attempts of a write with an unknown outcome, with the same request id, at other daemons.
 };
 
