--- a/tools/main_measure.cpp
+++ b/tools/main_measure.cpp
@@ -29,8 +29,8 @@
 }
 
 /// Measures both organisations in one form of the proxy.
-json::object
-measureForm(const programOptions::variables_map &flags, bool naive, json::array &phases, json::array &notes)
+json::object measureForm(
+    const programOptions::variables_map &flags, bool naive, int &basePort, json::array &phases, json::array &notes)
 {
     const endiveshore::tools::OrganisationProfile profiles[] = {
         {.service = "rota-db", .connectionLimit = 30, .connectMs = 10},
