--- a/daemon/serverhome.cpp
+++ b/daemon/serverhome.cpp
@@ -231,6 +231,11 @@
 void ServerHome::close()
 {
     this->closed = true;
+    for (const auto &[id, transaction] : this->transactions) {
+        // The server aborts a transaction whose connection closes.
+        transaction->lease.client().close();
+    }
+    this->transactions.clear();
     if (this->tracker) {
         this->tracker->stop();
     }
@@ -239,7 +244,8 @@
 
 net::awaitable<StatementAnswer> ServerHome::executeOnce(StatementCall call)
 {
-    if (this->options.server.leaving) {
+    if (this->options.server.leaving && call.term == 0) {
+        // A leaving primary serves until its replacement is promoted, which takes less than a second.
         throw core::Error(core::ResultCode::NoServer, "the server is leaving");
     }
     SlotQueue::Slot slot
