Give the servers of a deployment a loopback address of their own

Cause: deployments failed to start with 'Address already in use'. Ports of the ephemeral range were taken by outgoing connections of other programs, mostly in TIME_WAIT, on 127.0.0.1. Change: store, VM list, servers, proxy and daemons of tools::Deployment listen on 127.0.0.2. Tested: a deployment at port 41000 that had failed three times starts; unit tests of tools. Conclusion: outgoing connections keep 127.0.0.1 as source and no longer collide with listeners.

--- a/tools/blockinghttp.cpp
+++ b/tools/blockinghttp.cpp
@@ -2,6 +2,7 @@
 
 #include "core/json.h"
 #include "net/httpclient.h"
+#include "tools/deploymentaddress.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -30,7 +31,7 @@
 net::HttpResponse exchangeBlocking(int port, net::HttpRequest request, core::Duration timeout)
 {
     net::asio::io_context context(1);
-    const net::TcpEndpoint endpoint(net::asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port));
+    const net::TcpEndpoint endpoint = deploymentEndpoint(port);
     auto answer
         = net::asio::co_spawn(context, net::exchangeOnce(endpoint, std::move(request), timeout), net::asio::use_future);
     context.run();
--- a/tools/callerclient.cpp
+++ b/tools/callerclient.cpp
@@ -2,6 +2,7 @@
 
 #include "core/error.h"
 #include "core/json.h"
+#include "tools/deploymentaddress.h"
 
 namespace endiveshore::tools {
 
@@ -62,7 +63,7 @@
     try {
         net::HttpClientConnection &connection = this->connectionTo(port);
         if (!connection.isOpen()) {
-            const net::TcpEndpoint endpoint(net::asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port));
+            const net::TcpEndpoint endpoint = deploymentEndpoint(port);
             co_await connection.connect(endpoint, ConnectTimeout);
         }
         const net::HttpResponse response = co_await connection.exchange(std::move(request), timeout + AnswerMargin);
--- a/tools/deployment.cpp
+++ b/tools/deployment.cpp
@@ -2,6 +2,7 @@
 
 #include "core/error.h"
 #include "tools/blockinghttp.h"
+#include "tools/deploymentaddress.h"
 
 #include <array>
 #include <filesystem>
@@ -33,7 +34,7 @@
 
 std::string loopback(int port)
 {
-    return "127.0.0.1:" + std::to_string(port);
+    return std::string(DeploymentAddress) + ":" + std::to_string(port);
 }
 
 json::object defaultWorkspace(std::string_view name, double rate, double burst, double weight)
