List failures under contention in the measurement

Cause: the figures did not show which refusals and timeouts occurred while the slots were the bottleneck. Change: failures_under_contention_by_code is part of each organisation's figures.

--- a/tools/measurement.cpp
+++ b/tools/measurement.cpp
@@ -82,6 +82,15 @@
     return sum;
 }
 
+json::object codesJson(const std::map<int, std::uint64_t> &codes)
+{
+    json::object result;
+    for (const auto &[code, count] : codes) {
+        result[std::to_string(code)] = count;
+    }
+    return result;
+}
+
 double secondsSince(core::TimePoint start)
 {
     return std::chrono::duration<double>(core::Clock::now() - start).count();
@@ -215,11 +224,7 @@
     this->context.histories.push_back(workload->history());
     this->figures["offered_inside_rate"] = offered;
     this->figures["refusals_inside_rate"] = refused;
-    json::object codes;
-    for (const auto &[code, count] : refusals) {
-        codes[std::to_string(code)] = count;
-    }
-    this->figures["failures_inside_rate_by_code"] = std::move(codes);
+    this->figures["failures_inside_rate_by_code"] = codesJson(refusals);
     if (load->dropped() > 0) {
         this->context.note("inside_rate: " + std::to_string(load->dropped())
                            + " requests were not sent, too many waited for an answer");
@@ -373,11 +378,16 @@
     thread.spawn(load->run()).get();
     this->setStatementTime(StatementMs);
     std::vector<double> served(plans.size(), 0);
+    std::map<int, std::uint64_t> failures;
     for (const OpenRecord &record : load->records()) {
+        if (record.code != 0) {
+            ++failures[record.code];
+        }
         if (record.outcome == core::Outcome::Done && record.endUs >= start && record.endUs < end) {
             served[record.stream] += 1e6 / static_cast<double>(end - start);
         }
     }
+    this->figures["failures_under_contention_by_code"] = codesJson(failures);
     double capacity = 0;
     std::vector<ShareDemand> demands;
     for (std::size_t workspace = 0; workspace < plans.size(); ++workspace) {
