Measure rates and histories while daemons are paused and restarted

Cause: the excess over a rate was measured only with all daemons at work, where lent tokens are not at risk. Change: the phase daemon_faults pauses one daemon for 2 s and restarts another one under load above the rates. Conclusion: the figures of the phase count into over_rate and the violations.

--- a/tools/measurement.cpp
+++ b/tools/measurement.cpp
@@ -10,6 +10,7 @@
 #include "tools/loadthread.h"
 
 #include <algorithm>
+#include <csignal>
 #include <fstream>
 #include <iomanip>
 #include <iostream>
@@ -38,6 +39,14 @@
 constexpr double OpenRateShare = 0.6;
 constexpr double FirstDaemonShare = 0.9;
 constexpr double AboveRateFactor = 3;
+constexpr std::size_t WorkspacesAboveRate[] = {1, 3, 4};
+constexpr core::Milliseconds DaemonFaultTime{8'000};
+constexpr std::chrono::milliseconds DaemonFaultStep{1'000};
+// Longer than the lease of a home and the life of a lent token, both 1 s.
+constexpr std::chrono::milliseconds DaemonPause{2'000};
+constexpr double DaemonFaultRateShare = 0.1;
+constexpr std::size_t PausedDaemon = 1;
+constexpr std::size_t KilledDaemon = 2;
 constexpr double GreedyFactor = 5;
 constexpr double LoweredRateDivisor = 4;
 // Makes the slots of three primaries the bottleneck: 15 slots give about 125 statements per second.
@@ -116,6 +125,7 @@
         {"fairness", &Measurement::fairness},
         {"restore_rates", &Measurement::restoreRates},
         {"faults", &Measurement::faults},
+        {"daemon_faults", &Measurement::daemonFaults},
         {"final_state", &Measurement::finalState},
     };
     const core::TimePoint begin = core::Clock::now();
@@ -234,17 +244,49 @@
 void Measurement::aboveRate()
 {
     LoadThread thread;
-    const std::vector<std::size_t> workspaces{1, 3, 4};
+    const auto load = this->loadAboveRate(thread.executor(), AboveRateTime);
+    thread.spawn(load->run()).get();
+    this->noteRates(*load);
+}
+
+void Measurement::daemonFaults()
+{
+    if (this->options.naive) {
+        return;
+    }
+    LoadThread thread;
+    const auto load = this->loadAboveRate(thread.executor(), DaemonFaultTime);
+    const auto workload
+        = this->context.startableWorkload(thread.executor(), "moved-", DaemonFaultRateShare, DaemonFaultTime);
+    std::future<void> loadEnd = thread.spawn(load->run());
+    std::future<void> workloadEnd = thread.spawn(workload->run());
+    std::this_thread::sleep_for(DaemonFaultStep);
+    this->deployment.daemon(PausedDaemon).sendSignal(SIGSTOP);
+    std::this_thread::sleep_for(DaemonPause);
+    this->deployment.daemon(PausedDaemon).sendSignal(SIGCONT);
+    std::this_thread::sleep_for(DaemonFaultStep);
+    this->deployment.daemon(KilledDaemon).restart();
+    loadEnd.get();
+    workloadEnd.get();
+    this->noteRates(*load);
+    this->context.histories.push_back(workload->history());
+}
+
+std::shared_ptr<OpenLoad> Measurement::loadAboveRate(net::Executor executor, core::Milliseconds duration)
+{
     std::vector<OpenStream> streams;
-    for (const std::size_t workspace : workspaces) {
+    for (const std::size_t workspace : WorkspacesAboveRate) {
         OpenStream stream = this->context.stream(workspace, this->context.plans[workspace].rate * AboveRateFactor);
         stream.body = [this](std::uint64_t index) { return this->context.readBody(index, "availability"); };
         streams.push_back(std::move(stream));
     }
-    const auto load = this->context.startableLoad(thread.executor(), std::move(streams), AboveRateTime);
-    thread.spawn(load->run()).get();
-    for (std::size_t index = 0; index < workspaces.size(); ++index) {
-        this->context.noteRate(workspaces[index], load->records(), index);
+    return this->context.startableLoad(std::move(executor), std::move(streams), duration);
+}
+
+void Measurement::noteRates(const OpenLoad &load)
+{
+    for (std::size_t index = 0; index < std::size(WorkspacesAboveRate); ++index) {
+        this->context.noteRate(WorkspacesAboveRate[index], load.records(), index);
     }
 }
 
--- a/tools/measurement.h
+++ b/tools/measurement.h
@@ -48,8 +48,12 @@
     void fairness();
     void restoreRates();
     void faults();
+    void daemonFaults();
     void finalState();
 
+    /// Requests of a few workspaces above their rates, spread over all daemons.
+    std::shared_ptr<OpenLoad> loadAboveRate(net::Executor executor, core::Milliseconds duration);
+    void noteRates(const OpenLoad &load);
     void acceptPlans(std::vector<WorkspacePlan> plans);
     void setStatementTime(int milliseconds);
     std::vector<HistoryEvent> finalReads();
