--- a/tools/deployment.cpp
+++ b/tools/deployment.cpp
@@ -34,7 +34,7 @@
 
 std::string loopback(int port)
 {
-    return std::string(DeploymentHost) + ":" + std::to_string(port);
+    return std::string(DeploymentAddress) + ":" + std::to_string(port);
 }
 
 json::object defaultWorkspace(std::string_view name, double rate, double burst, double weight)
