Split the final checks off the measurement, and count control bytes once

Change: class FinalCheck; control_bytes alone is used where the status has it; the test uses port 23700.

--- a/tests/daemon/test_serverhome.cpp
+++ b/tests/daemon/test_serverhome.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr int BasePort = 41'900;
+constexpr int BasePort = 23'700;
 constexpr core::Milliseconds ShortDeadline{100};
 constexpr core::Milliseconds LongDeadline{5'000};
 constexpr core::Milliseconds ConnectRetry{20};
--- /dev/null
+++ b/tools/finalcheck.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "tools/measurecontext.h"
+
+#include <vector>
+
+namespace endiveshore::tools {
+
+/// Checks the histories of a measurement against the surviving state, and the ledgers of the backend servers.
+class FinalCheck
+{
+public:
+    explicit FinalCheck(MeasureContext &context);
+
+    /// Adds the number of violations of each kind to @p figures, and the first ones to the notes of the context.
+    void run(boost::json::object &figures);
+
+private:
+    std::vector<HistoryEvent> finalReads();
+
+    MeasureContext &context;
+};
+
+}
--- a/tools/measurement.cpp
+++ b/tools/measurement.cpp
@@ -6,7 +6,7 @@
 #include "tools/blockinghttp.h"
 #include "tools/fairshare.h"
 #include "tools/faultphase.h"
-#include "tools/historychecker.h"
+#include "tools/finalcheck.h"
 #include "tools/loadthread.h"
 
 #include <algorithm>
@@ -54,7 +54,6 @@
 constexpr int StatementMs = 2;
 constexpr std::size_t GreedyWorkspace = 0;
 constexpr std::size_t WithdrawnWorkspace = 7;
-constexpr std::size_t LinesPerViolation = 5;
 
 DeploymentOptions deploymentOptions(const MeasurementOptions &options)
 {
@@ -79,16 +78,10 @@
     return value != nullptr && value->is_number() ? value->to_number<double>() : 0;
 }
 
-/// Sum of all counters of the daemon's status that count bytes.
+/// Bytes that the control thread of a daemon has sent and received, as its status reports them.
 double controlBytes(const json::object &status)
 {
-    double sum = 0;
-    for (const auto &[key, value] : status) {
-        if (std::string_view(key).ends_with("_bytes") && value.is_number()) {
-            sum += value.to_number<double>();
-        }
-    }
-    return sum;
+    return number(status, status.contains("control_bytes") ? "control_bytes" : "gossip_bytes");
 }
 
 json::object codesJson(const std::map<int, std::uint64_t> &codes)
@@ -470,98 +463,8 @@
 
 void Measurement::finalState()
 {
-    const std::vector<HistoryEvent> state = this->finalReads();
-    const std::pair<std::string_view, std::vector<std::string> HistoryReport::*> lists[] = {
-        {"lost_writes", &HistoryReport::lostWrites},
-        {"doubled_writes", &HistoryReport::doubledWrites},
-        {"stale_session_reads", &HistoryReport::staleSessionReads},
-        {"false_not_run", &HistoryReport::falseNotRun},
-        {"crossed_answers", &HistoryReport::crossedAnswers},
-        {"split_transactions", &HistoryReport::splitTransactions},
-        {"term_violations", &HistoryReport::termViolations},
-    };
-    std::map<std::string_view, std::size_t> counts;
-    std::uint64_t events = 0;
-    std::uint64_t acknowledged = 0;
-    for (std::vector<HistoryEvent> history : this->context.histories) {
-        events += history.size();
-        std::set<std::string> keys;
-        for (const HistoryEvent &event : history) {
-            keys.insert(event.key);
-            keys.insert(event.secondKey);
-            const bool write = event.kind != EventKind::Read;
-            acknowledged += write && event.outcome == EventOutcome::Done ? 1 : 0;
-        }
-        for (const HistoryEvent &event : state) {
-            if (keys.contains(event.key)) {
-                history.push_back(event);
-            }
-        }
-        const HistoryReport report = checkHistory(history);
-        for (const auto &[name, list] : lists) {
-            counts[name] += (report.*list).size();
-            for (std::size_t line = 0; line < std::min((report.*list).size(), LinesPerViolation); ++line) {
-                this->context.note(std::string(name) + ": " + (report.*list)[line]);
-            }
-        }
-    }
-    for (const auto &[name, list] : lists) {
-        this->figures[name] = counts[name];
-    }
-    this->figures["requests_checked"] = events;
-    this->figures["acknowledged_writes"] = acknowledged;
-    for (std::size_t database = 0; database < DatabaseCount; ++database) {
-        for (std::size_t server = 0; server < ServerCount; ++server) {
-            if (this->deployment.server(database, server).isRunning()) {
-                this->context.readLedger(database, server);
-            }
-        }
-    }
-    this->figures["slot_violations"] = this->context.slotViolations;
-    this->figures["connection_violations"] = this->context.connectionViolations;
-    this->figures["keys_seen_by_servers"] = this->context.keysSeen;
-}
-
-std::vector<HistoryEvent> Measurement::finalReads()
-{
-    std::set<std::string> keys;
-    for (const std::vector<HistoryEvent> &history : this->context.histories) {
-        for (const HistoryEvent &event : history) {
-            keys.insert(event.key);
-            keys.insert(event.secondKey);
-        }
-    }
-    keys.erase(std::string());
-    std::vector<HistoryEvent> state;
-    for (std::size_t database = 0; database < DatabaseCount; ++database) {
-        const int primary = this->context.primaryOf(database);
-        if (primary < 0) {
-            this->context.note("final_state: " + this->deployment.databaseName(database) + " has no primary");
-            continue;
-        }
-        const int port = this->deployment.databasePort(database, static_cast<std::size_t>(primary));
-        for (const std::string &key : keys) {
-            if (databaseOfKey(key) != this->deployment.databaseName(database)) {
-                continue;
-            }
-            const json::object answer = postJson(
-                port,
-                "/statement",
-                {{"term", 0}, {"read_only", true}, {"statement", json::object{{"op", "get"}, {"key", key}}}});
-            HistoryEvent event;
-            event.kind = EventKind::Final;
-            event.outcome = EventOutcome::Done;
-            event.key = key;
-            const json::value *values = answer.if_contains("result");
-            if (values != nullptr && values->is_array()) {
-                for (const json::value &value : values->as_array()) {
-                    event.seen.emplace_back(value.is_string() ? value.as_string().c_str() : json::serialize(value));
-                }
-            }
-            state.push_back(std::move(event));
-        }
-    }
-    return state;
+    FinalCheck check(this->context);
+    check.run(this->figures);
 }
 
 void Measurement::setStatementTime(int milliseconds)
--- a/tools/measurement.h
+++ b/tools/measurement.h
@@ -56,7 +56,6 @@
     void noteRates(const OpenLoad &load);
     void acceptPlans(std::vector<WorkspacePlan> plans);
     void setStatementTime(int milliseconds);
-    std::vector<HistoryEvent> finalReads();
     /// Servers that refused for want of a slot or a connection so far.
     boost::json::object limitViolations();
     double residentMegabytes(std::size_t daemon);
