Probe primaries every 400 ms, and wait for statements of a former home

Cause: the largest of 7 daemons spent 9.5 to 10.6 KB/s on control, above the budget of 9 KB/s. A paused server collected a connection per failed probe and counted up to 49 connections above its limit when it resumed. Statements may run 2 s, but a new home waited 1.5 s only. Ruled out: probing the own replicas every 2 s as well.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -269,8 +269,10 @@
             .field("reason", decision.reason)
             .field("passed_over", decision.alternatives);
     };
+    failover::MonitorOptions options;
+    options.probeInterval = this->settings.probeInterval;
     this->failover = std::make_unique<FailoverService>(
-        this->control.get_executor(), this->settings.id, this->settings.dataCentre, callbacks);
+        this->control.get_executor(), this->settings.id, this->settings.dataCentre, callbacks, options);
 }
 
 void Daemon::createAdmission()
--- a/daemon/daemonsettings.cpp
+++ b/daemon/daemonsettings.cpp
@@ -79,8 +79,17 @@
             .unit = "milliseconds",
             .minimum = 0,
             .maximum = 60'000,
-            .defaultValue = "1500",
+            .defaultValue = "2200",
             .help = "Time a new home waits before it uses a server whose previous home did not release it."},
+    Setting{.flag = "probe-interval-ms",
+            .type = SettingType::Integer,
+            .unit = "milliseconds",
+            .minimum = 50,
+            .maximum = 10'000,
+            .defaultValue = "400",
+            .help
+            = "Time between probes of a primary by each home of its group; a longer one saves control traffic and "
+              "lengthens a failover by about twice the difference."},
     Setting{.flag = "read-policy",
             .type = SettingType::Choice,
             .choices = "replicas,primary",
@@ -172,6 +181,7 @@
     result.trafficThreads = static_cast<int>(settings.integer("traffic-threads"));
     result.drainLag = settings.milliseconds("drain-lag-ms");
     result.drainLimit = settings.milliseconds("drain-limit-ms");
+    result.probeInterval = settings.milliseconds("probe-interval-ms");
     result.handoverWait = settings.milliseconds("handover-wait-ms");
     result.readFromReplicas = settings.text("read-policy") == "replicas";
     result.rateMode = settings.text("rate-mode") == "shares" ? RateMode::Shares : RateMode::Static;
--- a/daemon/daemonsettings.h
+++ b/daemon/daemonsettings.h
@@ -34,6 +34,7 @@
     int trafficThreads = 2;
     core::Milliseconds drainLag{};
     core::Milliseconds drainLimit{};
+    core::Milliseconds probeInterval{};
     core::Milliseconds handoverWait{};
     bool readFromReplicas = true;
     bool relayConfiguration = true;
--- a/failover/groupmonitor.cpp
+++ b/failover/groupmonitor.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+// One more than the misses that raise a suspicion.
+constexpr int MissesBeforeSlowProbes = 3;
+
 // Reports older than this say nothing about the present state of a group.
 constexpr core::Milliseconds ReportLifetime{2'000};
 
@@ -69,8 +72,15 @@
 
 bool GroupMonitor::isProbed(const std::string &id, core::TimePoint now) const
 {
-    return id == this->knownPrimary || this->ownServers.contains(id) || this->disorderSince
-        || this->phase != Phase::Watching || now < this->settledAt;
+    if (this->phase != Phase::Watching || this->disorderSince) {
+        return true;
+    }
+    // A server that is paused collects the connections of failed probes until it resumes, and they count against its
+    // connection limit then.
+    if (this->servers.at(id).known.misses >= MissesBeforeSlowProbes) {
+        return false;
+    }
+    return id == this->knownPrimary || this->ownServers.contains(id) || now < this->settledAt;
 }
 
 bool GroupMonitor::isDisordered(core::TimePoint now) const
