--- a/daemon/homeregistry.cpp
+++ b/daemon/homeregistry.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-// A new home that got no release waits 1.5 s. The former home must have ended by then, so transactions that are still
+// A new home that got no release waits 2.2 s. The former home must have ended by then, so transactions that are still
 // open at this limit are aborted.
 constexpr core::Milliseconds RetireLimit{1'200};
 constexpr core::Milliseconds RetirePollInterval{5};
--- a/tests/failover/test_groupmonitor.cpp
+++ b/tests/failover/test_groupmonitor.cpp
@@ -193,9 +193,9 @@
         for (auto &[name, home] : simulation.homes) {
             home.monitor->setLeaving({leaving});
         }
-        EXPECT_TRUE(simulation.runUntil(
-            3s, [&simulation, &leaving] { return simulation.isWritable() && simulation.primary() != leaving; }))
-            << describe(simulation);
+        EXPECT_TRUE(simulation.runUntil(3s, [&simulation, &leaving] {
+            return simulation.isWritable() && simulation.primary() != leaving;
+        })) << describe(simulation);
         simulation.run(3s);
         EXPECT_NE(simulation.primary(), leaving) << describe(simulation);
         simulation.checkAcknowledged();
--- a/tests/process/test_configuration.cpp
+++ b/tests/process/test_configuration.cpp
@@ -256,7 +256,8 @@
         }
         return reached;
     };
-    const std::string store = std::string(tools::DeploymentAddress) + ":" + std::to_string(this->deployment->storePort());
+    const std::string store
+        = std::string(tools::DeploymentAddress) + ":" + std::to_string(this->deployment->storePort());
     for (int round = 0; round < 6; ++round) {
         const json::object base = this->storedDocument();
         std::vector<ChildProcess> commands;
--- a/tools/blockinghttp.h
+++ b/tools/blockinghttp.h
@@ -7,7 +7,8 @@
 
 namespace endiveshore::tools {
 
-/// One exchange with a server on the address of the deployment, from a thread without an event loop. Throws core::Error.
+/// One exchange with a server on the address of the deployment, from a thread without an event loop. Throws
+/// core::Error.
 net::HttpResponse exchangeBlocking(int port, net::HttpRequest request, core::Duration timeout);
 
 /// Body of a successful JSON answer; throws core::Error otherwise.
