--- a/daemon/serverhome.cpp
+++ b/daemon/serverhome.cpp
@@ -1,6 +1,7 @@
 #include "daemon/serverhome.h"
 
-#include "daemon/transactionid.h"
+#include "daemon/replicawait.h"
+#include "daemon/serverhomedetail.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -18,74 +19,7 @@
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 
-// Probes of up to three homes, two connections each, and replication waits use connections besides the pool.
-constexpr int MonitoringConnections = 8;
-// A transaction that its caller has left keeps a connection and locks.
-constexpr core::Milliseconds TransactionIdleLimit{10'000};
-constexpr core::Milliseconds TransactionCheckInterval{500};
-// A statement that got no answer in this time counts as lost. The connection is closed, and the pool checks the others.
-constexpr core::Milliseconds StatementLimit{2'000};
-// A statement may need this long at the server, so it is not started later than this before its deadline.
-constexpr core::Milliseconds StatementReserve{20};
 constexpr core::Milliseconds ConnectionCheckLimit{500};
-constexpr core::Milliseconds WaitExchangeMargin{250};
-
-/// Counts a call while it is in scope.
-class RunningCall
-{
-public:
-    explicit RunningCall(std::size_t &count)
-        : count(count)
-    {
-        ++this->count;
-    }
-    ~RunningCall()
-    {
-        --this->count;
-    }
-    RunningCall(const RunningCall &) = delete;
-    RunningCall &operator=(const RunningCall &) = delete;
-
-private:
-    std::size_t &count;
-};
-
-/// Closes a connection unless dismissed.
-class ConnectionCloser
-{
-public:
-    explicit ConnectionCloser(backend::ServerClient &client)
-        : client(&client)
-    {
-    }
-    ~ConnectionCloser()
-    {
-        if (this->client != nullptr) {
-            this->client->close();
-        }
-    }
-    ConnectionCloser(const ConnectionCloser &) = delete;
-    ConnectionCloser &operator=(const ConnectionCloser &) = delete;
-
-    void dismiss()
-    {
-        this->client = nullptr;
-    }
-
-private:
-    backend::ServerClient *client;
-};
-
-/// An old and a new home together must stay under the server's connection limit.
-int poolLimit(int connectionLimit)
-{
-    return std::max(2, (connectionLimit - MonitoringConnections) / 2);
-}
-
-core::Duration statementTimeout(core::TimePoint deadline)
-{
-    return std::min<core::Duration>(StatementLimit, deadline - core::Clock::now());
-}
 
 queueing::Priority priorityOf(const StatementCall &call)
 {
@@ -98,62 +32,8 @@
     return call.staleRead ? queueing::Priority::StaleRead : queueing::Priority::Read;
 }
 
-/// Connection to one replica for position waits, reopened after failures.
-class ReplicaWait : public std::enable_shared_from_this<ReplicaWait>
-{
-public:
-    ReplicaWait(const net::Executor &executor, net::TcpEndpoint endpoint)
-        : client(executor)
-        , endpoint(endpoint)
-    {
-    }
-
-    net::awaitable<ReplicationTracker::Progress>
-    wait(std::uint64_t term, std::uint64_t position, core::Duration timeout)
-    {
-        const std::shared_ptr<ReplicaWait> self = this->shared_from_this();
-        if (!this->client.isOpen()) {
-            co_await this->client.connect(this->endpoint, timeout);
-        }
-        const core::Duration exchangeTimeout = timeout + WaitExchangeMargin;
-        const backend::WaitResult result = co_await this->client.wait(
-            static_cast<std::int64_t>(term), static_cast<std::int64_t>(position), timeout, exchangeTimeout);
-        ReplicationTracker::Progress progress;
-        progress.term = static_cast<std::uint64_t>(result.term);
-        progress.received = static_cast<std::uint64_t>(result.received);
-        co_return progress;
-    }
-
-private:
-    backend::ServerClient client;
-    net::TcpEndpoint endpoint;
-};
-
 }
 
-/// A statement at the server. It keeps its slot and its connection until the server has answered or counts as lost,
-/// also if the caller's deadline passes first: the server still runs it.
-struct ServerHome::Exchange
-{
-    Exchange(std::shared_ptr<ServerHome> home, SlotQueue::Slot slot)
-        : home(std::move(home))
-        , slot(std::move(slot))
-        , ended(this->home->executor)
-    {
-    }
-
-    std::shared_ptr<ServerHome> home; ///< Owns the queue, so it is destroyed after the slot.
-    SlotQueue::Slot slot;
-    std::optional<backend::ConnectionPool::Lease> lease; ///< Of a statement outside a transaction.
-    std::shared_ptr<Transaction> transaction;
-    backend::StatementCall request;
-    backend::StatementResult result;
-    std::exception_ptr failure;
-    asio::steady_timer ended;
-    bool finished = false;
-    bool abandoned = false; ///< The transaction is given up.
-};
-
 ServerHome::ServerHome(net::Executor executor,
                        ServerHomeOptions options,
                        HomeCheck isHome,
@@ -364,131 +244,6 @@
     }
 }
 
-net::awaitable<StatementAnswer> ServerHome::executeInTransaction(StatementCall call)
-{
-    const std::shared_ptr<Transaction> transaction = this->useTransaction(call);
-    transaction->busy = true;
-    std::exception_ptr failure;
-    backend::StatementResult result;
-    std::shared_ptr<Exchange> exchange;
-    try {
-        SlotQueue::Slot slot = co_await this->slotQueue.acquire(
-            call.workspace, queueing::Priority::TransactionInProgress, call.deadline - StatementReserve);
-        exchange = std::make_shared<Exchange>(this->shared_from_this(), std::move(slot));
-        exchange->transaction = transaction;
-        backend::StatementCall &request = exchange->request;
-        request.term = static_cast<std::int64_t>(transaction->term);
-        request.statement = call.statement.as_object();
-        request.readOnly = call.readOnly;
-        request.requestId = call.requestId;
-        request.workspace = call.workspace;
-        request.transaction = call.transaction;
-        result = co_await this->exchange(exchange, call.deadline);
-    } catch (...) {
-        failure = std::current_exception();
-    }
-    transaction->busy = false;
-    transaction->lastUse = core::Clock::now();
-    if (failure) {
-        const bool running = exchange && !exchange->finished;
-        if (running) {
-            exchange->abandoned = true;
-        }
-        if (running || !transaction->lease.client().isOpen()) {
-            this->transactions.erase(call.transaction);
-        }
-        std::rethrow_exception(failure);
-    }
-    StatementAnswer answer = this->answerOf(result);
-    // Nothing of an open transaction may enter a session token.
-    answer.sessionSafe = false;
-    co_return answer;
-}
-
-net::awaitable<StatementAnswer> ServerHome::begin(StatementCall call)
-{
-    this->requireHome();
-    const std::size_t transactionLimit = static_cast<std::size_t>(
-        std::max(1, poolLimit(this->options.server.connectionLimit) - this->options.server.slots));
-    if (this->transactions.size() >= transactionLimit) {
-        throw core::Error(core::ResultCode::QueueFull, "too many open transactions at the server");
-    }
-    const std::string id = makeTransactionId(this->options.memberId, this->options.serverKey);
-    backend::ConnectionPool::Lease lease = co_await this->pool.acquire(call.deadline - core::Clock::now());
-    auto transaction = std::make_shared<Transaction>(std::move(lease));
-    transaction->workspace = call.workspace;
-    transaction->term = call.term;
-    transaction->lastUse = core::Clock::now();
-    co_await transaction->lease.client().begin(
-        static_cast<std::int64_t>(call.term), call.workspace, id, statementTimeout(call.deadline));
-    this->transactions.emplace(id, transaction);
-    if (!this->expiryRunning) {
-        this->expiryRunning = true;
-        asio::co_spawn(this->executor, this->expireTransactions(), asio::detached);
-    }
-    StatementAnswer answer;
-    answer.server = this->options.serverKey;
-    answer.role = "primary";
-    answer.sessionSafe = false;
-    answer.result = id;
-    co_return answer;
-}
-
-net::awaitable<StatementAnswer> ServerHome::commit(StatementCall call)
-{
-    const std::shared_ptr<Transaction> transaction = this->useTransaction(call);
-    transaction->busy = true;
-    this->transactions.erase(call.transaction);
-    // A connection with an open transaction must not return to the pool: unless the commit is known to have ended the
-    // transaction, the connection is closed and the server aborts it.
-    ConnectionCloser closer(transaction->lease.client());
-    SlotQueue::Slot slot = co_await this->slotQueue.acquire(
-        call.workspace, queueing::Priority::TransactionInProgress, call.deadline - StatementReserve);
-    const backend::StatementResult result = co_await transaction->lease.client().commit(
-        call.transaction, call.requestId, statementTimeout(call.deadline));
-    closer.dismiss();
-    slot.release();
-    StatementAnswer answer = this->answerOf(result);
-    call.term = transaction->term;
-    co_await this->confirm(answer, result, call);
-    co_return answer;
-}
-
-net::awaitable<StatementAnswer> ServerHome::rollback(StatementCall call)
-{
-    const std::shared_ptr<Transaction> transaction = this->useTransaction(call);
-    transaction->busy = true;
-    this->transactions.erase(call.transaction);
-    ConnectionCloser closer(transaction->lease.client());
-    co_await transaction->lease.client().rollback(call.transaction, statementTimeout(call.deadline));
-    closer.dismiss();
-    StatementAnswer answer;
-    answer.server = this->options.serverKey;
-    answer.sessionSafe = false;
-    co_return answer;
-}
-
-net::awaitable<void> ServerHome::expireTransactions()
-{
-    const std::shared_ptr<ServerHome> self = this->shared_from_this();
-    asio::steady_timer timer(this->executor);
-    while (!this->closed && !this->transactions.empty()) {
-        timer.expires_after(TransactionCheckInterval);
-        co_await timer.async_wait(UseTuple);
-        const core::TimePoint now = core::Clock::now();
-        std::erase_if(this->transactions, [now](const auto &item) {
-            const Transaction &transaction = *item.second;
-            if (transaction.busy || now - transaction.lastUse < TransactionIdleLimit) {
-                return false;
-            }
-            // The server aborts a transaction whose connection closes.
-            transaction.lease.client().close();
-            return true;
-        });
-    }
-    this->expiryRunning = false;
-}
-
 net::awaitable<void>
 ServerHome::confirm(StatementAnswer &answer, const backend::StatementResult &result, const StatementCall &call)
 {
@@ -520,21 +275,6 @@
     }
 }
 
-std::shared_ptr<ServerHome::Transaction> ServerHome::useTransaction(const StatementCall &call)
-{
-    const auto found = this->transactions.find(call.transaction);
-    if (found == this->transactions.end()) {
-        throw core::Error(core::ResultCode::UnknownTransaction, "the transaction is not open");
-    }
-    if (found->second->workspace != call.workspace) {
-        throw core::Error(core::ResultCode::WorkspaceMismatch, "the transaction belongs to another workspace");
-    }
-    if (found->second->busy) {
-        throw core::Error(core::ResultCode::MalformedRequest, "the transaction runs another statement");
-    }
-    return found->second;
-}
-
 StatementAnswer ServerHome::answerOf(const backend::StatementResult &result) const
 {
     StatementAnswer answer;
--- /dev/null
+++ b/daemon/servertransactions.cpp
@@ -0,0 +1,190 @@
+#include "daemon/serverhomedetail.h"
+#include "daemon/transactionid.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+/// Transactions of ServerHome: each is pinned to one connection from begin to commit or rollback.
+namespace endiveshore::daemon {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+
+// A transaction that its caller has left keeps a connection and locks.
+constexpr core::Milliseconds TransactionIdleLimit{10'000};
+constexpr core::Milliseconds TransactionCheckInterval{500};
+
+/// Closes a connection unless dismissed.
+class ConnectionCloser
+{
+public:
+    explicit ConnectionCloser(backend::ServerClient &client)
+        : client(&client)
+    {
+    }
+    ~ConnectionCloser()
+    {
+        if (this->client != nullptr) {
+            this->client->close();
+        }
+    }
+    ConnectionCloser(const ConnectionCloser &) = delete;
+    ConnectionCloser &operator=(const ConnectionCloser &) = delete;
+
+    void dismiss()
+    {
+        this->client = nullptr;
+    }
+
+private:
+    backend::ServerClient *client;
+};
+
+}
+
+net::awaitable<StatementAnswer> ServerHome::executeInTransaction(StatementCall call)
+{
+    const std::shared_ptr<Transaction> transaction = this->useTransaction(call);
+    transaction->busy = true;
+    std::exception_ptr failure;
+    backend::StatementResult result;
+    std::shared_ptr<Exchange> exchange;
+    try {
+        SlotQueue::Slot slot = co_await this->slotQueue.acquire(
+            call.workspace, queueing::Priority::TransactionInProgress, call.deadline - StatementReserve);
+        exchange = std::make_shared<Exchange>(this->shared_from_this(), std::move(slot));
+        exchange->transaction = transaction;
+        backend::StatementCall &request = exchange->request;
+        request.term = static_cast<std::int64_t>(transaction->term);
+        request.statement = call.statement.as_object();
+        request.readOnly = call.readOnly;
+        request.requestId = call.requestId;
+        request.workspace = call.workspace;
+        request.transaction = call.transaction;
+        result = co_await this->exchange(exchange, call.deadline);
+    } catch (...) {
+        failure = std::current_exception();
+    }
+    transaction->busy = false;
+    transaction->lastUse = core::Clock::now();
+    if (failure) {
+        const bool running = exchange && !exchange->finished;
+        if (running) {
+            exchange->abandoned = true;
+        }
+        if (running || !transaction->lease.client().isOpen()) {
+            this->transactions.erase(call.transaction);
+        }
+        std::rethrow_exception(failure);
+    }
+    StatementAnswer answer = this->answerOf(result);
+    // Nothing of an open transaction may enter a session token.
+    answer.sessionSafe = false;
+    co_return answer;
+}
+
+net::awaitable<StatementAnswer> ServerHome::begin(StatementCall call)
+{
+    this->requireHome();
+    const std::size_t transactionLimit = static_cast<std::size_t>(
+        std::max(1, poolLimit(this->options.server.connectionLimit) - this->options.server.slots));
+    if (this->transactions.size() >= transactionLimit) {
+        throw core::Error(core::ResultCode::QueueFull, "too many open transactions at the server");
+    }
+    const std::string id = makeTransactionId(this->options.memberId, this->options.serverKey);
+    backend::ConnectionPool::Lease lease = co_await this->pool.acquire(call.deadline - core::Clock::now());
+    auto transaction = std::make_shared<Transaction>(std::move(lease));
+    transaction->workspace = call.workspace;
+    transaction->term = call.term;
+    transaction->lastUse = core::Clock::now();
+    co_await transaction->lease.client().begin(
+        static_cast<std::int64_t>(call.term), call.workspace, id, statementTimeout(call.deadline));
+    this->transactions.emplace(id, transaction);
+    if (!this->expiryRunning) {
+        this->expiryRunning = true;
+        asio::co_spawn(this->executor, this->expireTransactions(), asio::detached);
+    }
+    StatementAnswer answer;
+    answer.server = this->options.serverKey;
+    answer.role = "primary";
+    answer.sessionSafe = false;
+    answer.result = id;
+    co_return answer;
+}
+
+net::awaitable<StatementAnswer> ServerHome::commit(StatementCall call)
+{
+    const std::shared_ptr<Transaction> transaction = this->useTransaction(call);
+    transaction->busy = true;
+    this->transactions.erase(call.transaction);
+    // A connection with an open transaction must not return to the pool: unless the commit is known to have ended the
+    // transaction, the connection is closed and the server aborts it.
+    ConnectionCloser closer(transaction->lease.client());
+    SlotQueue::Slot slot = co_await this->slotQueue.acquire(
+        call.workspace, queueing::Priority::TransactionInProgress, call.deadline - StatementReserve);
+    const backend::StatementResult result = co_await transaction->lease.client().commit(
+        call.transaction, call.requestId, statementTimeout(call.deadline));
+    closer.dismiss();
+    slot.release();
+    StatementAnswer answer = this->answerOf(result);
+    call.term = transaction->term;
+    co_await this->confirm(answer, result, call);
+    co_return answer;
+}
+
+net::awaitable<StatementAnswer> ServerHome::rollback(StatementCall call)
+{
+    const std::shared_ptr<Transaction> transaction = this->useTransaction(call);
+    transaction->busy = true;
+    this->transactions.erase(call.transaction);
+    ConnectionCloser closer(transaction->lease.client());
+    co_await transaction->lease.client().rollback(call.transaction, statementTimeout(call.deadline));
+    closer.dismiss();
+    StatementAnswer answer;
+    answer.server = this->options.serverKey;
+    answer.sessionSafe = false;
+    co_return answer;
+}
+
+net::awaitable<void> ServerHome::expireTransactions()
+{
+    const std::shared_ptr<ServerHome> self = this->shared_from_this();
+    asio::steady_timer timer(this->executor);
+    while (!this->closed && !this->transactions.empty()) {
+        timer.expires_after(TransactionCheckInterval);
+        co_await timer.async_wait(UseTuple);
+        const core::TimePoint now = core::Clock::now();
+        std::erase_if(this->transactions, [now](const auto &item) {
+            const Transaction &transaction = *item.second;
+            if (transaction.busy || now - transaction.lastUse < TransactionIdleLimit) {
+                return false;
+            }
+            // The server aborts a transaction whose connection closes.
+            transaction.lease.client().close();
+            return true;
+        });
+    }
+    this->expiryRunning = false;
+}
+
+std::shared_ptr<ServerHome::Transaction> ServerHome::useTransaction(const StatementCall &call)
+{
+    const auto found = this->transactions.find(call.transaction);
+    if (found == this->transactions.end()) {
+        throw core::Error(core::ResultCode::UnknownTransaction, "the transaction is not open");
+    }
+    if (found->second->workspace != call.workspace) {
+        throw core::Error(core::ResultCode::WorkspaceMismatch, "the transaction belongs to another workspace");
+    }
+    if (found->second->busy) {
+        throw core::Error(core::ResultCode::MalformedRequest, "the transaction runs another statement");
+    }
+    return found->second;
+}
+
+}
