Test that a restarted daemon becomes home again

Its first form failed with the reset as well, because it took the home before all daemons knew each other; it now waits for that.

--- a/tests/process/test_shutdown.cpp
+++ b/tests/process/test_shutdown.cpp
@@ -148,6 +148,31 @@
     std::cout << this->answered << " requests\n";
 }
 
+// Guards against a daemon that still counts as draining after its restart and so gets no servers.
+TEST_F(ShutdownTest, RestartedDaemonBecomesHomeAgain)
+{
+    this->startDeployment();
+    // Homes move until every daemon knows all others.
+    const auto converged = [this] {
+        for (std::size_t daemon = 0; daemon < this->deployment->daemonCount(); ++daemon) {
+            const std::optional<json::object> status = this->status(daemon);
+            if (!status || status->at("members").as_array().size() < this->deployment->daemonCount()) {
+                return false;
+            }
+        }
+        return true;
+    };
+    ASSERT_TRUE(Deployment::waitUntil(converged, StartLimit));
+    const std::optional<std::size_t> home = this->homeOf(0, 0, 1);
+    ASSERT_TRUE(home.has_value());
+    const std::size_t observer = (*home + 1) % this->deployment->daemonCount();
+    this->deployment->daemon(*home).sendSignal(SIGTERM);
+    ASSERT_EQ(this->deployment->daemon(*home).waitForExit(DrainLimit).value_or(-1), 0);
+    EXPECT_NE(this->homeOf(0, 0, observer), home);
+    this->deployment->daemon(*home).restart();
+    EXPECT_TRUE(Deployment::waitUntil([&] { return this->homeOf(0, 0, observer) == home; }, StartLimit));
+}
+
 class LeavingServerTest : public FaultTest
 {
 protected:
