--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -1,6 +1,7 @@
 #include "net/httpserver.h"
 
 #include "core/error.h"
+#include "net/tcplistener.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -141,8 +142,8 @@
 
 struct HttpServer::Acceptor
 {
-    explicit Acceptor(const Executor &executor)
-        : socket(executor)
+    explicit Acceptor(asio::ip::tcp::acceptor socket)
+        : socket(std::move(socket))
     {
     }
 
@@ -158,15 +159,7 @@
 
 void HttpServer::listen(const Executor &executor, const TcpEndpoint &endpoint, bool reusePort)
 {
-    auto acceptor = std::make_shared<Acceptor>(executor);
-    acceptor->socket.open(endpoint.protocol());
-    acceptor->socket.set_option(asio::socket_base::reuse_address(true));
-    if (reusePort) {
-        using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
-        acceptor->socket.set_option(ReusePort(true));
-    }
-    acceptor->socket.bind(endpoint);
-    acceptor->socket.listen();
+    auto acceptor = std::make_shared<Acceptor>(openAcceptor(executor, endpoint, reusePort));
     this->acceptors.push_back(acceptor);
     asio::co_spawn(executor, this->acceptLoop(acceptor), asio::detached);
 }
@@ -196,18 +189,12 @@
 {
     const std::shared_ptr<HttpServer> self = this->shared_from_this();
     while (!this->stopping) {
-        auto [acceptError, socket] = co_await acceptor->socket.async_accept(UseTuple);
-        if (acceptError) {
-            if (!acceptor->socket.is_open()) {
-                break;
-            }
-            // Running out of file descriptors must not end the accept loop.
-            asio::steady_timer pause(acceptor->socket.get_executor(), std::chrono::milliseconds(20));
-            co_await pause.async_wait(UseTuple);
-            continue;
+        std::optional<asio::ip::tcp::socket> accepted = co_await acceptNext(acceptor->socket);
+        if (!accepted) {
+            break;
         }
         const Executor executor = acceptor->socket.get_executor();
-        asio::co_spawn(executor, this->serveConnection(std::move(socket)), asio::detached);
+        asio::co_spawn(executor, this->serveConnection(std::move(*accepted)), asio::detached);
     }
 }
 
--- a/net/peerserver.cpp
+++ b/net/peerserver.cpp
@@ -1,5 +1,7 @@
 #include "net/peerserver.h"
 
+#include "net/tcplistener.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -46,8 +48,8 @@
 
 struct PeerServer::Acceptor
 {
-    explicit Acceptor(const Executor &executor)
-        : socket(executor)
+    explicit Acceptor(asio::ip::tcp::acceptor socket)
+        : socket(std::move(socket))
     {
     }
 
@@ -63,15 +65,7 @@
 
 void PeerServer::listen(const Executor &executor, const TcpEndpoint &endpoint, bool reusePort)
 {
-    auto acceptor = std::make_shared<Acceptor>(executor);
-    acceptor->socket.open(endpoint.protocol());
-    acceptor->socket.set_option(asio::socket_base::reuse_address(true));
-    if (reusePort) {
-        using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
-        acceptor->socket.set_option(ReusePort(true));
-    }
-    acceptor->socket.bind(endpoint);
-    acceptor->socket.listen();
+    auto acceptor = std::make_shared<Acceptor>(openAcceptor(executor, endpoint, reusePort));
     this->acceptors.push_back(acceptor);
     asio::co_spawn(executor, this->acceptLoop(acceptor), asio::detached);
 }
@@ -104,16 +98,11 @@
         return runCounted(handler, counter, std::move(request));
     };
     while (!this->stopping) {
-        auto [acceptError, socket] = co_await acceptor->socket.async_accept(UseTuple);
-        if (acceptError) {
-            if (!acceptor->socket.is_open()) {
-                break;
-            }
-            // Running out of file descriptors must not end the accept loop.
-            asio::steady_timer pause(acceptor->socket.get_executor(), std::chrono::milliseconds(20));
-            co_await pause.async_wait(UseTuple);
-            continue;
+        std::optional<asio::ip::tcp::socket> accepted = co_await acceptNext(acceptor->socket);
+        if (!accepted) {
+            break;
         }
+        asio::ip::tcp::socket socket = std::move(*accepted);
         if (this->stopping) {
             break;
         }
--- a/tools/faultphase.cpp
+++ b/tools/faultphase.cpp
@@ -37,19 +37,6 @@
     return database + "/probe/" + std::to_string(index);
 }
 
-EventOutcome eventOutcome(core::Outcome outcome)
-{
-    switch (outcome) {
-    case core::Outcome::Done:
-        return EventOutcome::Done;
-    case core::Outcome::NotRun:
-        return EventOutcome::NotRun;
-    case core::Outcome::Unknown:
-        break;
-    }
-    return EventOutcome::Unknown;
-}
-
 }
 
 FaultPhase::FaultPhase(MeasureContext &context, bool allFaults)
--- a/tools/history.cpp
+++ b/tools/history.cpp
@@ -81,6 +81,19 @@
 
 }
 
+EventOutcome eventOutcome(core::Outcome outcome)
+{
+    switch (outcome) {
+    case core::Outcome::Done:
+        return EventOutcome::Done;
+    case core::Outcome::NotRun:
+        return EventOutcome::NotRun;
+    case core::Outcome::Unknown:
+        break;
+    }
+    return EventOutcome::Unknown;
+}
+
 std::string_view eventKindName(EventKind kind)
 {
     return KindNames[static_cast<std::size_t>(kind)];
--- a/tools/history.h
+++ b/tools/history.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/resultcode.h"
+
 #include <boost/json.hpp>
 
 #include <cstdint>
@@ -24,6 +26,9 @@
     Unknown,
 };
 
+/// The outcome of @p outcome in a history.
+EventOutcome eventOutcome(core::Outcome outcome);
+
 /// One request of one session, with all its attempts. Values are unique in a history.
 struct HistoryEvent
 {
--- a/tools/workload.cpp
+++ b/tools/workload.cpp
@@ -19,19 +19,6 @@
 constexpr core::Milliseconds EndPollInterval{10};
 constexpr core::Milliseconds RetryDelay{50};
 
-EventOutcome outcomeOf(core::Outcome outcome)
-{
-    switch (outcome) {
-    case core::Outcome::Done:
-        return EventOutcome::Done;
-    case core::Outcome::NotRun:
-        return EventOutcome::NotRun;
-    case core::Outcome::Unknown:
-        break;
-    }
-    return EventOutcome::Unknown;
-}
-
 }
 
 struct Workload::Session
@@ -282,7 +269,7 @@
 void Workload::finish(Session &session, HistoryEvent event, const CallerAnswer &answer)
 {
     event.endUs = this->sinceStart();
-    event.outcome = outcomeOf(answer.outcome);
+    event.outcome = eventOutcome(answer.outcome);
     event.code = answer.code;
     event.server = answer.server;
     event.role = answer.role;
