Sample slots, connections, members and failover gaps as metrics

Cause: the metrics existed but only request counts were fed. Change: once a second the daemon samples its homes and members; the time from the first suspicion of a primary to a working one is observed per group. Tested: a single daemon answers its metrics page, is ready without services and exits 0 on SIGTERM after 2.0 s.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -134,6 +134,7 @@
         this->log.line("placement").field("server", server).field("decision", decision).field("reason", reason);
     };
     hooks.homeReleased = [this](const std::string &server) {
+        this->metrics.removeServer(server);
         asio::co_spawn(this->control, this->releaseServer(server), asio::detached);
     };
     hooks.peerRefused = [this](const net::TcpEndpoint &endpoint) {
@@ -216,14 +217,7 @@
         = [this](const std::string &group, std::int64_t term, const std::string &server, bool spread) {
               this->onPrimaryChanged(group, term, server, spread);
           };
-    callbacks.statusChanged = [this](const GroupStatus &status) {
-        this->metrics.term(status.database).set(static_cast<double>(status.term));
-        for (const MonitoredServer &server : status.servers) {
-            if (server.answered && server.report.primary) {
-                this->metrics.position(status.database).set(static_cast<double>(server.report.position));
-            }
-        }
-    };
+    callbacks.statusChanged = [this](const GroupStatus &status) { this->onGroupStatus(status); };
     callbacks.decided = [this](const std::string &group, const failover::LogDecision &decision) {
         this->log.line("failover")
             .field("database", group)
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -66,6 +66,11 @@
     net::awaitable<boost::json::object>
     exchangeWithPeer(std::string memberId, std::string path, boost::json::object request);
 
+    // Metrics that are sampled.
+    void onGroupStatus(const GroupStatus &status);
+    void updateMetrics(core::TimePoint now);
+    void updateHomeMetrics();
+
     // Operators and shutdown.
     net::awaitable<net::HttpResponse> handleAdmin(net::HttpRequest request);
     boost::json::object status() const;
@@ -98,6 +103,8 @@
     std::atomic<core::TimePoint::rep> leaseValidUntil{0}; ///< Read by the traffic threads before each statement.
     bool relay = false; ///< This daemon watches the store for its data centre.
     std::vector<std::string> livePeers; ///< Other live daemons, those of the own data centre first.
+    std::map<std::string, core::TimePoint> suspectedSince; ///< Start of the present suspicion by group.
+    core::TimePoint nextMetrics;
     bool viewScheduled = false;
     bool stopped = false;
 };
--- a/daemon/daemoncontrol.cpp
+++ b/daemon/daemoncontrol.cpp
@@ -51,7 +51,7 @@
     }
     this->leaseValidUntil = this->lease.validUntil().time_since_epoch().count();
     this->updateIsolation(now);
-    this->metrics.controlCpu().raiseTo(threadCpuSeconds());
+    this->updateMetrics(now);
 }
 
 void Daemon::markChanged()
--- a/daemon/serverhome.cpp
+++ b/daemon/serverhome.cpp
@@ -121,9 +121,9 @@
     return this->running + this->transactions.size();
 }
 
-const SlotQueue &ServerHome::queue() const
+unsigned ServerHome::slotsInUse()
 {
-    return this->slotQueue;
+    return this->slotQueue.account().inUse();
 }
 
 backend::ConnectionPoolCounters ServerHome::connectionCounters() const
--- a/daemon/serverhome.h
+++ b/daemon/serverhome.h
@@ -47,7 +47,7 @@
     /// Statements running or waiting and transactions open; zero once drained.
     std::size_t activity() const;
 
-    const SlotQueue &queue() const;
+    unsigned slotsInUse();
     backend::ConnectionPoolCounters connectionCounters() const;
 
     /// Ends waits, aborts open transactions and closes idle connections.
