Join through the VM list, and require the workspace of open routes

Cause: daemons without seeds stayed alone, although the operations page says that the VM list is enough. A document with an open route but without the workspace public was accepted, and requests without a key were then refused as above their rate. Change: every daemon takes its seeds from the VM list, at start and once a minute, relays once a second. Such a document is refused with the path of the route.

--- a/daemon/callerfrontend.cpp
+++ b/daemon/callerfrontend.cpp
@@ -11,9 +11,6 @@
 constexpr std::string_view SessionHeader = "Endiveshore-Session";
 constexpr std::string_view BearerPrefix = "Bearer ";
 
-// Requests without a key on open routes are charged to this workspace, if the document declares it.
-constexpr std::string_view OpenWorkspace = "public";
-
 net::HttpResponse errorAnswer(const core::Error &error)
 {
     return net::errorResponse(error.code, error.outcome, error.message);
@@ -189,7 +186,7 @@
         if (!openRoute) {
             throw core::Error(core::ResultCode::KeyMissing, "the route needs a workspace key");
         }
-        return std::string(OpenWorkspace);
+        return std::string(document::OpenWorkspaceName);
     }
     if (!authorization.starts_with(BearerPrefix)) {
         throw core::Error(core::ResultCode::KeyRejected, "the authorization scheme must be Bearer");
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -60,6 +60,7 @@
     net::awaitable<void> releaseServer(std::string serverKey);
     void updateIsolation(core::TimePoint now);
     net::awaitable<void> pollVmList();
+    void applyVmList(const platform::VmList &list);
 
     // Roles derived from the membership.
     void updateRoles();
--- a/daemon/daemoncontrol.cpp
+++ b/daemon/daemoncontrol.cpp
@@ -19,6 +19,7 @@
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 constexpr core::Milliseconds TickInterval{50};
 constexpr core::Milliseconds VmListInterval{1'000};
+constexpr core::Milliseconds VmListIdleInterval{60'000};
 
 }
 
@@ -270,37 +271,49 @@
 {
     asio::steady_timer timer(this->control);
     while (!this->stopped) {
-        if (this->relay) {
-            try {
-                const platform::VmList list = co_await this->vmList->fetch();
-                for (const platform::Vm &vm : list.vms) {
-                    if (vm.kind != platform::VmKind::Backend) {
-                        continue;
-                    }
-                    const bool known = this->state.leavingServers.contains(vm.address);
-                    if (vm.leaving == known) {
-                        continue;
-                    }
-                    membership::StateValue value;
-                    value.number = vm.leaving ? 1 : 0;
-                    value.version = list.revision;
-                    const std::string key = std::string(LeavingServerStatePrefix) + vm.address;
-                    this->gossip->setState(key, value);
-                    this->onState({.key = key, .value = value});
-                    this->log.line("placement")
-                        .field("server", vm.address)
-                        .field("decision", vm.leaving ? "leave" : "return")
-                        .field("reason", "VM list");
-                }
-            } catch (const core::Error &error) {
-                this->log.line("vm_list", telemetry::LogLevel::Warning).field("error", error.message);
-            }
+        try {
+            const platform::VmList list = co_await this->vmList->fetch();
+            this->applyVmList(list);
+        } catch (const core::Error &error) {
+            this->log.line("vm_list", telemetry::LogLevel::Warning).field("error", error.message);
         }
-        timer.expires_after(VmListInterval);
+        // Relays follow the list closely for the leaving servers; the others only need fresh addresses to join through.
+        const bool frequent = this->relay || !this->gossip->membership().hasJoined();
+        timer.expires_after(frequent ? VmListInterval : VmListIdleInterval);
         co_await timer.async_wait(UseTuple);
     }
 }
 
+void Daemon::applyVmList(const platform::VmList &list)
+{
+    std::vector<std::string> daemons;
+    for (const platform::Vm &vm : list.vms) {
+        if (vm.kind == platform::VmKind::Daemon) {
+            if (!vm.leaving) {
+                daemons.push_back(vm.address);
+            }
+            continue;
+        }
+        const bool known = this->state.leavingServers.contains(vm.address);
+        if (!this->relay || vm.leaving == known) {
+            continue;
+        }
+        membership::StateValue value;
+        value.number = vm.leaving ? 1 : 0;
+        value.version = list.revision;
+        const std::string key = std::string(LeavingServerStatePrefix) + vm.address;
+        this->gossip->setState(key, value);
+        this->onState({.key = key, .value = value});
+        this->log.line("placement")
+            .field("server", vm.address)
+            .field("decision", vm.leaving ? "leave" : "return")
+            .field("reason", "VM list");
+    }
+    if (!daemons.empty()) {
+        this->gossip->setSeeds(std::move(daemons));
+    }
+}
+
 void Daemon::updateRoles()
 {
     // Derived once per change of the membership: the roles are asked for many times a second.
--- a/document/documentchecks.cpp
+++ b/document/documentchecks.cpp
@@ -115,6 +115,10 @@
         if (route.kind == RouteKind::Write && route.maxAge) {
             return refuse(elementPath("routes", index) + ".max_age_ms", "an age bound applies to reads only");
         }
+        if (route.open && document.findWorkspace(OpenWorkspaceName) == nullptr) {
+            return refuse(elementPath("routes", index) + ".open",
+                          "an open route needs the workspace \"public\", to which requests without a key are charged");
+        }
     }
     return {};
 }
--- a/document/servicedocument.h
+++ b/document/servicedocument.h
@@ -53,6 +53,9 @@
     bool operator==(const Route &) const = default;
 };
 
+/// Workspace to which requests without a key are charged on open routes.
+inline constexpr std::string_view OpenWorkspaceName = "public";
+
 /// A customer of the service.
 struct Workspace
 {
--- a/tests/document/test_documentparser.cpp
+++ b/tests/document/test_documentparser.cpp
@@ -27,7 +27,8 @@
   "routes": [{"name": "availability", "kind": "read", "open": true, "max_age_ms": 1000},
              {"name": "book", "kind": "write", "open": false, "repeatable": false}],
   "workspaces": [{"name": "plaza", "rate_per_s": 50, "burst": 100, "weight": 2},
-                 {"name": "museo", "rate_per_s": 0.5, "burst": 1}]
+                 {"name": "museo", "rate_per_s": 0.5, "burst": 1},
+                 {"name": "public", "rate_per_s": 10, "burst": 10}]
 })";
 
 /// Failure of parsing @p text; code Ok if it is accepted.
@@ -172,6 +173,7 @@
          "/databases/0/initial_primary",
          "\"fittings-1\"",
          "databases[0].initial_primary"},
+        {"OpenRouteWithoutPublic", "/workspaces/2/name", "\"visitors\"", "routes[0].open"},
         {"NoRoutes", "/routes", "[]", "routes"},
         {"DuplicateRoute", "/routes/1/name", "\"availability\"", "routes[1].name"},
         {"KindUnknown", "/routes/0/kind", "\"Read\"", "routes[0].kind"},
--- a/tests/process/faulttest.cpp
+++ b/tests/process/faulttest.cpp
@@ -224,6 +224,17 @@
     return best;
 }
 
+bool FaultTest::knowEachOther()
+{
+    for (std::size_t daemon = 0; daemon < this->deployment->daemonCount(); ++daemon) {
+        const std::optional<json::object> status = this->status(daemon);
+        if (!status || status->at("members").as_array().size() < this->deployment->daemonCount()) {
+            return false;
+        }
+    }
+    return true;
+}
+
 std::optional<std::size_t> FaultTest::homeOf(std::size_t database, std::size_t server, std::size_t observer)
 {
     const std::optional<json::object> known = this->status(observer);
--- a/tests/process/faulttest.h
+++ b/tests/process/faulttest.h
@@ -75,6 +75,9 @@
     /// Index of the primary of @p database with the highest term that a daemon knows, and the term.
     std::pair<std::size_t, std::uint64_t> primary(std::size_t database);
     /// Index of the home daemon of a server as @p observer sees it.
+    /// True once every daemon lists all daemons as members.
+    bool knowEachOther();
+
     std::optional<std::size_t> homeOf(std::size_t database, std::size_t server, std::size_t observer);
     std::optional<boost::json::object> status(std::size_t daemon) const;
 
--- /dev/null
+++ b/tests/process/test_membership.cpp
@@ -0,0 +1,24 @@
+#include "tests/process/faulttest.h"
+
+namespace endiveshore::tests {
+
+namespace {
+
+constexpr std::chrono::milliseconds JoinLimit{10'000};
+
+}
+
+class MembershipTest : public FaultTest
+{
+};
+
+// Guards against daemons that stay alone where no seeds are set and only the platform's VM list names the others.
+TEST_F(MembershipTest, DaemonsJoinThroughTheVmList)
+{
+    tools::DeploymentOptions options;
+    options.joinThroughVmList = true;
+    this->startDeployment(std::move(options));
+    EXPECT_TRUE(tools::Deployment::waitUntil([this] { return this->knowEachOther(); }, JoinLimit));
+}
+
+}
--- a/tests/process/test_shutdown.cpp
+++ b/tests/process/test_shutdown.cpp
@@ -153,15 +153,7 @@
 {
     this->startDeployment();
     // Homes move until every daemon knows all others.
-    const auto converged = [this] {
-        for (std::size_t daemon = 0; daemon < this->deployment->daemonCount(); ++daemon) {
-            const std::optional<json::object> status = this->status(daemon);
-            if (!status || status->at("members").as_array().size() < this->deployment->daemonCount()) {
-                return false;
-            }
-        }
-        return true;
-    };
+    const auto converged = [this] { return this->knowEachOther(); };
     ASSERT_TRUE(Deployment::waitUntil(converged, StartLimit));
     const std::optional<std::size_t> home = this->homeOf(0, 0, 1);
     ASSERT_TRUE(home.has_value());
--- a/tools/deployment.cpp
+++ b/tools/deployment.cpp
@@ -335,6 +335,9 @@
 
 void Deployment::startDaemons()
 {
+    if (this->options.joinThroughVmList) {
+        this->listDaemonVms();
+    }
     std::string seeds;
     for (std::size_t daemon = 0; daemon < std::min<std::size_t>(this->daemonCount(), 3); ++daemon) {
         seeds += (seeds.empty() ? "" : ",") + loopback(this->options.basePort + PeerOffset + static_cast<int>(daemon));
@@ -358,16 +361,31 @@
             loopback(this->options.basePort + StoreRouteOffset + index),
             "--vm-list",
             loopback(this->vmListPort()),
-            "--seeds",
-            seeds,
             "--session-secrets",
             "shared-secret-of-the-test-deployment",
         };
+        if (!this->options.joinThroughVmList) {
+            arguments.insert(arguments.end(), {"--seeds", seeds});
+        }
         arguments.insert(arguments.end(), this->options.daemonFlags.begin(), this->options.daemonFlags.end());
         this->daemons.push_back(this->launch("endiveshored", this->daemonName(daemon), std::move(arguments)));
     }
 }
 
+void Deployment::listDaemonVms()
+{
+    json::array vms;
+    for (std::size_t daemon = 0; daemon < this->daemonCount(); ++daemon) {
+        vms.push_back(
+            json::object{{"id", this->daemonName(daemon)},
+                         {"address", loopback(this->options.basePort + PeerOffset + static_cast<int>(daemon))},
+                         {"data_centre", dataCentre(daemon)},
+                         {"state", "live"},
+                         {"kind", "daemon"}});
+    }
+    postJson(this->vmListPort(), "/standin/set", json::object{{"vms", std::move(vms)}});
+}
+
 void Deployment::configure()
 {
     const std::string file = this->options.workDirectory + "/service.json";
--- a/tools/deployment.h
+++ b/tools/deployment.h
@@ -26,6 +26,7 @@
     int statementMs = 2;
     int replicationDelayMs = 5;
     int applyDelayMs = 20;
+    bool joinThroughVmList = false; ///< The daemons get no seeds and find each other in the VM list.
     std::vector<std::string> daemonFlags; ///< Added to each daemon's command line.
     boost::json::array workspaces; ///< Replaces the default 8 workspaces if not empty.
 };
@@ -81,6 +82,7 @@
     void startServers();
     void startFaultProxy();
     void startDaemons();
+    void listDaemonVms();
     void configure();
     ChildProcess launch(const std::string &program, const std::string &name, std::vector<std::string> arguments);
     std::size_t routeOfServer(std::size_t database, std::size_t server) const;
