Hash nodes once in the rendezvous order, and drop dead code

Cause: the sort hashed both nodes in every comparison. The lease of a workspace and the choice of its allocator order all members several times a second, so at 920 members the hashing would dominate. The home map had got this mend for itself only; it belongs in the shared function. The HTTP client kept a flag that nobody read, and the router computed the age bound of a route twice. Change: weights are computed once per node; the flag and an unused local are gone; one function gives the age bound. Behaviour is unchanged.

--- a/core/hashing.cpp
+++ b/core/hashing.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace endiveshore::core {
 
@@ -68,12 +69,21 @@
 
 std::vector<std::string> rendezvousOrder(std::string_view key, std::span<const std::string> nodes)
 {
-    std::vector<std::string> ordered(nodes.begin(), nodes.end());
-    std::sort(ordered.begin(), ordered.end(), [key](const std::string &left, const std::string &right) {
-        const std::uint64_t leftWeight = rendezvousWeight(key, left);
-        const std::uint64_t rightWeight = rendezvousWeight(key, right);
-        return leftWeight != rightWeight ? leftWeight > rightWeight : left < right;
+    // Hashed once per node rather than in every comparison.
+    const std::uint64_t keyHash = stableHash(key);
+    std::vector<std::pair<std::uint64_t, const std::string *>> weighted;
+    weighted.reserve(nodes.size());
+    for (const std::string &node : nodes) {
+        weighted.emplace_back(rendezvousWeight(keyHash, stableHash(node)), &node);
+    }
+    std::sort(weighted.begin(), weighted.end(), [](const auto &left, const auto &right) {
+        return left.first != right.first ? left.first > right.first : *left.second < *right.second;
     });
+    std::vector<std::string> ordered;
+    ordered.reserve(nodes.size());
+    for (const auto &[weight, node] : weighted) {
+        ordered.push_back(*node);
+    }
     return ordered;
 }
 
--- a/daemon/statementrouter.cpp
+++ b/daemon/statementrouter.cpp
@@ -47,6 +47,11 @@
     return region == nullptr ? std::string() : region->name;
 }
 
+core::Duration maxAgeOf(const document::Route &route)
+{
+    return route.maxAge.value_or(DefaultMaxAge);
+}
+
 /// Counts a statement as active on a server while it is in scope.
 class ActiveStatement
 {
@@ -106,7 +111,6 @@
     bool outcomeUnknown = false;
     for (;;) {
         const std::shared_ptr<const FleetView> view = this->viewSource();
-        std::string failure;
         core::Error error(core::ResultCode::NoPrimary, "no primary of " + group + " is known");
         const auto groupView = view->groups.find(group);
         if (groupView != view->groups.end() && !groupView->second.primaryServer.empty()) {
@@ -152,8 +156,7 @@
 net::awaitable<StatementAnswer> StatementRouter::runRead(const AdmittedStatement &statement)
 {
     const std::string group = groupKey(statement.service->service, statement.database->name);
-    const core::Duration maxAge
-        = statement.route->maxAge ? core::Duration(*statement.route->maxAge) : core::Duration(DefaultMaxAge);
+    const core::Duration maxAge = maxAgeOf(*statement.route);
     core::Duration delay = FirstRetryDelay;
     for (;;) {
         const std::shared_ptr<const FleetView> view = this->viewSource();
@@ -289,7 +292,7 @@
     request.dataCentre = this->options.dataCentre;
     request.region = region;
     request.required = statement.required;
-    request.maxAge = statement.route->maxAge ? core::Duration(*statement.route->maxAge) : core::Duration(DefaultMaxAge);
+    request.maxAge = maxAgeOf(*statement.route);
     request.catchUpWait = CatchUpWait;
     request.spread = this->random();
     return routing::chooseReadServers(request, candidates);
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -51,7 +51,6 @@
     beast::flat_buffer buffer{MaxAnswerBytes};
     std::string host;
     bool open = false;
-    bool unsent = true;
 };
 
 HttpClientConnection::HttpClientConnection(const Executor &executor)
@@ -66,7 +65,6 @@
 awaitable<void> HttpClientConnection::connect(TcpEndpoint endpoint, core::Duration timeout)
 {
     Impl &state = *this->impl;
-    state.unsent = true;
     state.stream.expires_after(timeout);
     auto [connectError] = co_await state.stream.async_connect(endpoint, UseTuple);
     if (connectError) {
@@ -86,15 +84,9 @@
     return this->impl->open;
 }
 
-bool HttpClientConnection::lastRequestUnsent() const
-{
-    return this->impl->unsent;
-}
-
 awaitable<HttpResponse> HttpClientConnection::exchange(HttpRequest request, core::Duration timeout)
 {
     Impl &state = *this->impl;
-    state.unsent = true;
     if (state.open && isStale(state.stream.socket())) {
         this->close();
     }
@@ -111,7 +103,6 @@
 
     state.stream.expires_after(timeout);
     auto [writeError, writtenBytes] = co_await http::async_write(state.stream, message, UseTuple);
-    state.unsent = false;
     countThreadBytes(writtenBytes);
     if (writeError) {
         this->close();
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -23,10 +23,6 @@
 
     bool isOpen() const;
 
-    /// True if nothing of the last failed request can have left this host: the connection was refused or already
-    /// closed.
-    bool lastRequestUnsent() const;
-
     /// Sends @p request and returns the whole answer. Throws core::Error: BackendUnreachable with outcome not run if
     /// the request did not leave, AnswerLost with outcome unknown if it may have left, also after @p timeout.
     awaitable<HttpResponse> exchange(HttpRequest request, core::Duration timeout);
