--- a/console/platformconfigstore.cpp
+++ b/console/platformconfigstore.cpp
@@ -1,7 +1,7 @@
 #include "console/platformconfigstore.h"
 
 #include "core/error.h"
-#include "platform/storeclient.h"
+#include "store/storeclient.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -12,18 +12,18 @@
 
 namespace {
 
-/// Runs @p call, a member function of platform::StoreClient, to its end and returns its result.
+/// Runs @p call, a member function of store::StoreClient, to its end and returns its result.
 template<typename Result, typename... Parameters, typename... Arguments>
 Result runCall(const net::TcpEndpoint &endpoint,
                core::Duration timeout,
-               net::awaitable<Result> (platform::StoreClient::*call)(Parameters...),
+               net::awaitable<Result> (store::StoreClient::*call)(Parameters...),
                Arguments... arguments)
 {
     net::asio::io_context context;
-    platform::StoreClientOptions options{.endpoints = {endpoint}};
+    store::StoreClientOptions options{.endpoints = {endpoint}};
     options.connectTimeout = std::min(options.connectTimeout, timeout);
     options.callTimeout = timeout;
-    platform::StoreClient client(context.get_executor(), std::move(options));
+    store::StoreClient client(context.get_executor(), std::move(options));
     std::exception_ptr failure;
     Result result;
     net::asio::co_spawn(
@@ -38,12 +38,12 @@
     return result;
 }
 
-StoredValue toValue(platform::StoreEntry entry)
+StoredValue toValue(store::StoreEntry entry)
 {
     return {.key = std::move(entry.key), .value = std::move(entry.value), .revision = entry.version};
 }
 
-SwapResult toSwapResult(std::string_view key, platform::SwapResult result)
+SwapResult toSwapResult(std::string_view key, store::SwapResult result)
 {
     SwapResult converted{.swapped = result.swapped, .revision = result.swapped ? result.version : 0};
     if (!result.swapped && result.version != 0) {
@@ -62,17 +62,17 @@
 
 std::optional<StoredValue> PlatformConfigStore::get(std::string_view key, core::Duration timeout)
 {
-    std::optional<platform::StoreEntry> entry
-        = runCall(this->endpoint, timeout, &platform::StoreClient::get, std::string(key));
+    std::optional<store::StoreEntry> entry
+        = runCall(this->endpoint, timeout, &store::StoreClient::get, std::string(key));
     return entry ? std::optional<StoredValue>(toValue(std::move(*entry))) : std::nullopt;
 }
 
 RangeResult PlatformConfigStore::range(std::string_view prefix, core::Duration timeout)
 {
-    platform::StoreSnapshot snapshot = runCall(
-        this->endpoint, timeout, &platform::StoreClient::range, std::string(prefix), platform::RangeOptions());
+    store::StoreSnapshot snapshot = runCall(
+        this->endpoint, timeout, &store::StoreClient::range, std::string(prefix), store::RangeOptions());
     RangeResult result{.revision = snapshot.revision};
-    for (platform::StoreEntry &entry : snapshot.entries) {
+    for (store::StoreEntry &entry : snapshot.entries) {
         result.values.push_back(toValue(std::move(entry)));
     }
     return result;
@@ -86,7 +86,7 @@
     return toSwapResult(key,
                         runCall(this->endpoint,
                                 timeout,
-                                &platform::StoreClient::compareAndSwap,
+                                &store::StoreClient::compareAndSwap,
                                 std::string(key),
                                 base,
                                 std::string(value)));
@@ -94,15 +94,15 @@
 
 SwapResult PlatformConfigStore::remove(std::string_view key, std::int64_t base, core::Duration timeout)
 {
-    return toSwapResult(key, runCall(this->endpoint, timeout, &platform::StoreClient::remove, std::string(key), base));
+    return toSwapResult(key, runCall(this->endpoint, timeout, &store::StoreClient::remove, std::string(key), base));
 }
 
 std::int64_t PlatformConfigStore::removalRevision(std::string_view key, std::int64_t after, core::Duration timeout)
 {
     std::int64_t revision = 0;
-    platform::WatchOptions options{.prefix = std::string(key), .fromRevision = after + 1, .silenceDeadline = timeout};
-    platform::WatchCallback onEvents = [&revision, key](const std::vector<platform::StoreEvent> &events, std::int64_t) {
-        for (const platform::StoreEvent &event : events) {
+    store::WatchOptions options{.prefix = std::string(key), .fromRevision = after + 1, .silenceDeadline = timeout};
+    store::WatchCallback onEvents = [&revision, key](const std::vector<store::StoreEvent> &events, std::int64_t) {
+        for (const store::StoreEvent &event : events) {
             if (event.deleted && event.key == key && revision == 0) {
                 revision = event.version;
             }
@@ -110,7 +110,7 @@
         // A call without events says that all changes so far have been delivered.
         return revision == 0 && !events.empty();
     };
-    runCall(this->endpoint, timeout, &platform::StoreClient::watch, std::move(options), std::move(onEvents));
+    runCall(this->endpoint, timeout, &store::StoreClient::watch, std::move(options), std::move(onEvents));
     if (revision == 0) {
         core::Error error(core::ResultCode::StoreUnavailable, "store: the history of a key could not be read");
         error.outcome = core::Outcome::NotRun;
--- a/console/platformconfigstore.h
+++ b/console/platformconfigstore.h
@@ -5,7 +5,7 @@
 
 namespace endiveshore::console {
 
-/// ConfigStore over platform::StoreClient. Each call uses a new connection, so that a silent one cannot hold up later
+/// ConfigStore over store::StoreClient. Each call uses a new connection, so that a silent one cannot hold up later
 /// calls.
 class PlatformConfigStore : public ConfigStore
 {
--- a/daemon/configservice.cpp
+++ b/daemon/configservice.cpp
@@ -30,7 +30,7 @@
 }
 
 ConfigurationService::ConfigurationService(const net::Executor &executor,
-                                           std::shared_ptr<platform::StoreClient> store,
+                                           std::shared_ptr<store::StoreClient> store,
                                            ConfigurationOptions options,
                                            ConfigurationCallbacks callbacks)
     : executor(executor)
@@ -128,10 +128,10 @@
     const core::TimePoint started = core::Clock::now();
     try {
         for (const ConfigurationPart &part : this->options.parts) {
-            platform::RangeOptions range{.pageSize = part.pageSize, .revision = snapshotRevision};
-            platform::StoreSnapshot read = co_await this->store->range(part.prefix, range);
+            store::RangeOptions range{.pageSize = part.pageSize, .revision = snapshotRevision};
+            store::StoreSnapshot read = co_await this->store->range(part.prefix, range);
             snapshotRevision = read.revision;
-            for (platform::StoreEntry &entry : read.entries) {
+            for (store::StoreEntry &entry : read.entries) {
                 snapshot.push_back(
                     {.key = std::move(entry.key), .value = std::move(entry.value), .version = entry.version});
             }
@@ -167,18 +167,18 @@
     this->watchedRevision = std::max(this->watchedRevision, this->configuration.revision());
     this->appliedRevision = this->configuration.revision();
     const core::TimePoint opened = core::Clock::now();
-    platform::WatchOptions watch{.prefix = this->options.watchPrefix,
+    store::WatchOptions watch{.prefix = this->options.watchPrefix,
                                  .fromRevision = this->watchedRevision + 1,
                                  .silenceDeadline = this->options.watchSilence};
     const std::shared_ptr<ConfigurationService> self = this->shared_from_this();
-    platform::WatchCallback callback = [self](const std::vector<platform::StoreEvent> &events, std::int64_t revision) {
+    store::WatchCallback callback = [self](const std::vector<store::StoreEvent> &events, std::int64_t revision) {
         return self->applyWatch(events, revision);
     };
-    const platform::WatchEnd end = co_await this->store->watch(std::move(watch), std::move(callback));
-    if (end == platform::WatchEnd::Stopped) {
+    const store::WatchEnd end = co_await this->store->watch(std::move(watch), std::move(callback));
+    if (end == store::WatchEnd::Stopped) {
         co_return;
     }
-    if (end == platform::WatchEnd::Compacted) {
+    if (end == store::WatchEnd::Compacted) {
         const bool reloaded = co_await this->loadFromStore();
         if (reloaded) {
             co_return;
@@ -191,11 +191,11 @@
     }
 }
 
-bool ConfigurationService::applyWatch(const std::vector<platform::StoreEvent> &events, std::int64_t revision)
+bool ConfigurationService::applyWatch(const std::vector<store::StoreEvent> &events, std::int64_t revision)
 {
     this->storeConfirmation = core::Clock::now();
     std::vector<confsync::EntryChange> changes;
-    for (const platform::StoreEvent &event : events) {
+    for (const store::StoreEvent &event : events) {
         if (this->isConfigured(event.key)) {
             changes.push_back(
                 {.key = event.key, .value = event.value, .version = event.version, .deleted = event.deleted});
--- a/daemon/configservice.h
+++ b/daemon/configservice.h
@@ -3,7 +3,7 @@
 #include "confsync/entrystore.h"
 #include "core/time.h"
 #include "net/asyncio.h"
-#include "platform/storeclient.h"
+#include "store/storeclient.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/object.hpp>
@@ -64,7 +64,7 @@
 {
 public:
     ConfigurationService(const net::Executor &executor,
-                         std::shared_ptr<platform::StoreClient> store,
+                         std::shared_ptr<store::StoreClient> store,
                          ConfigurationOptions options,
                          ConfigurationCallbacks callbacks);
 
@@ -110,7 +110,7 @@
     net::awaitable<bool> loadFromStore();
     net::awaitable<bool> loadFromPeers();
     net::awaitable<void> followStore();
-    bool applyWatch(const std::vector<platform::StoreEvent> &events, std::int64_t revision);
+    bool applyWatch(const std::vector<store::StoreEvent> &events, std::int64_t revision);
     net::awaitable<void> checkPulls();
     void schedulePulls();
     bool mayStartPull(const Candidate &candidate, core::TimePoint now) const;
@@ -125,7 +125,7 @@
     void publishIf(confsync::MergeResult result);
 
     net::Executor executor;
-    std::shared_ptr<platform::StoreClient> store;
+    std::shared_ptr<store::StoreClient> store;
     ConfigurationOptions options;
     ConfigurationCallbacks callbacks;
     confsync::EntryStore configuration;
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -160,7 +160,7 @@
     this->admin = std::make_shared<net::HttpServer>(
         [this](net::HttpRequest request, net::HttpConnection &) { return this->handleAdmin(std::move(request)); });
     if (this->settings.vmList) {
-        this->vmList = std::make_unique<platform::VmListClient>(*this->settings.vmList);
+        this->vmList = std::make_unique<store::VmListClient>(*this->settings.vmList);
     }
     this->createAdmission();
     this->createGossip();
@@ -171,9 +171,9 @@
 
 void Daemon::createConfiguration()
 {
-    platform::StoreClientOptions storeOptions;
+    store::StoreClientOptions storeOptions;
     storeOptions.endpoints = {this->settings.store};
-    this->store = std::make_shared<platform::StoreClient>(this->control.get_executor(), storeOptions);
+    this->store = std::make_shared<store::StoreClient>(this->control.get_executor(), storeOptions);
     ConfigurationCallbacks callbacks;
     callbacks.isRelay = [this] { return this->relay; };
     callbacks.peers = [this] { return this->livePeers; };
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -12,7 +12,7 @@
 #include "daemon/trafficthread.h"
 #include "net/httpserver.h"
 #include "net/peerclient.h"
-#include "platform/vmlistclient.h"
+#include "store/vmlistclient.h"
 #include "telemetry/decisionlog.h"
 #include "telemetry/metrics.h"
 
@@ -60,7 +60,7 @@
     net::awaitable<void> releaseServer(std::string serverKey);
     void updateIsolation(core::TimePoint now);
     net::awaitable<void> pollVmList();
-    void applyVmList(const platform::VmList &list);
+    void applyVmList(const store::VmList &list);
 
     // Roles derived from the membership.
     void updateRoles();
@@ -90,8 +90,8 @@
     std::unique_ptr<Admission> admission;
     std::unique_ptr<PeerFrontend> peerFrontend;
     std::unique_ptr<net::PeerClient> peers;
-    std::shared_ptr<platform::StoreClient> store;
-    std::unique_ptr<platform::VmListClient> vmList;
+    std::shared_ptr<store::StoreClient> store;
+    std::unique_ptr<store::VmListClient> vmList;
     std::shared_ptr<ConfigurationService> configuration;
     std::shared_ptr<GossipService> gossip;
     std::unique_ptr<FailoverService> failover;
--- a/daemon/daemoncontrol.cpp
+++ b/daemon/daemoncontrol.cpp
@@ -272,7 +272,7 @@
     asio::steady_timer timer(this->control);
     while (!this->stopped) {
         try {
-            const platform::VmList list = co_await this->vmList->fetch();
+            const store::VmList list = co_await this->vmList->fetch();
             this->applyVmList(list);
         } catch (const core::Error &error) {
             this->log.line("vm_list", telemetry::LogLevel::Warning).field("error", error.message);
@@ -284,11 +284,11 @@
     }
 }
 
-void Daemon::applyVmList(const platform::VmList &list)
+void Daemon::applyVmList(const store::VmList &list)
 {
     std::vector<std::string> daemons;
-    for (const platform::Vm &vm : list.vms) {
-        if (vm.kind == platform::VmKind::Daemon) {
+    for (const store::Vm &vm : list.vms) {
+        if (vm.kind == store::VmKind::Daemon) {
             if (!vm.leaving) {
                 daemons.push_back(vm.address);
             }
--- a/daemon/main_endiveshored.cpp
+++ b/daemon/main_endiveshored.cpp
@@ -1,35 +1,69 @@
 #include "core/error.h"
 #include "daemon/daemon.h"
 #include "daemon/daemonsettings.h"
+#include "platform/platformadapter.h"
+#include "platform/sessionsettings.h"
 
 #include <csignal>
 #include <iostream>
 
 namespace {
 
+using namespace endiveshore;
+
 constexpr int InvalidSettingExitCode = 2;
 
+/// First argument that selects the interface of long caller sessions on the platform.
+constexpr std::string_view SessionsCommand = "sessions";
+
+/// Serves the proxy's own interface.
+int serveStatements(std::span<const char *const> arguments)
+{
+    const core::ProgramInfo program = daemon::DaemonSettings::program();
+    const core::Settings settings(program, daemon::DaemonSettings::table(), arguments, core::processEnvironment());
+    if (settings.action() == core::SettingsAction::Check || settings.action() == core::SettingsAction::Run) {
+        daemon::DaemonSettings::fromSettings(settings);
+    }
+    const std::optional<int> answered
+        = core::answerAction(settings, program, daemon::DaemonSettings::table(), std::cout);
+    if (answered) {
+        return *answered;
+    }
+    daemon::Daemon process(daemon::DaemonSettings::fromSettings(settings));
+    return process.run();
+}
+
+/// Serves caller sessions on the platform.
+int serveSessions(std::span<const char *const> arguments)
+{
+    const core::ProgramInfo program = platform::sessionProgram();
+    const core::Settings settings(program, platform::sessionSettings(), arguments, core::processEnvironment());
+    if (settings.action() == core::SettingsAction::Check) {
+        platform::makeAdapter(std::getenv(platform::SettingsVariable));
+    }
+    const std::optional<int> answered
+        = core::answerAction(settings, program, platform::sessionSettings(), std::cout);
+    if (answered) {
+        return *answered;
+    }
+    gateway::PlatformAdapter adapter = platform::makeAdapter(std::getenv(platform::SettingsVariable));
+    const telemetry::LogOptions logOptions = platform::sessionLogOptions(settings, adapter);
+    gateway::GatewayDaemon process(std::move(adapter), logOptions);
+    return process.run();
+}
+
 }
 
 /// The daemon. Exit code 0 after a graceful shutdown, 1 if it could not run, 2 for an invalid setting.
 int main(int argumentCount, char **arguments)
 {
-    using namespace endiveshore;
     try {
-        const core::ProgramInfo program = daemon::DaemonSettings::program();
+        std::signal(SIGPIPE, SIG_IGN);
         const std::span<const char *const> flags(arguments, static_cast<std::size_t>(argumentCount));
-        const core::Settings settings(program, daemon::DaemonSettings::table(), flags, core::processEnvironment());
-        if (settings.action() == core::SettingsAction::Check || settings.action() == core::SettingsAction::Run) {
-            daemon::DaemonSettings::fromSettings(settings);
-        }
-        const std::optional<int> answered
-            = core::answerAction(settings, program, daemon::DaemonSettings::table(), std::cout);
-        if (answered) {
-            return *answered;
+        if (flags.size() > 1 && flags[1] == SessionsCommand) {
+            return serveSessions(flags.subspan(1));
         }
-        std::signal(SIGPIPE, SIG_IGN);
-        daemon::Daemon process(daemon::DaemonSettings::fromSettings(settings));
-        return process.run();
+        return serveStatements(flags);
     } catch (const core::Error &error) {
         std::cerr << "endiveshored: " << error.message << '\n';
         return error.code == core::ResultCode::InvalidSetting ? InvalidSettingExitCode : 1;
--- /dev/null
+++ b/gateway/callersession.cpp
@@ -0,0 +1,506 @@
+#include "gateway/callersession.h"
+
+#include "core/error.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+
+#include <netinet/tcp.h>
+
+namespace endiveshore::gateway {
+
+namespace asio = boost::asio;
+using pooling::Statement;
+using pooling::StatementKind;
+using pooling::UnitError;
+using pooling::UnitKind;
+using pooling::UnitOutcome;
+using pooling::UnitResult;
+using pooling::WorkUnit;
+
+namespace {
+
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t MaxLineBytes = 1024 * 1024; ///< Largest message of the wire protocol.
+/// A caller that does not take bytes for this long is gone.
+constexpr int UserTimeoutMs = 10'000;
+/// Part of the latency objective that an operation may wait for its workspace's rate.
+constexpr int RateWaitPart = 8;
+/// Operations on open routes without a known key are accounted under this workspace.
+constexpr std::string_view OpenWorkspace = "public";
+constexpr std::chrono::milliseconds RollbackLimit{500};
+
+}
+
+CallerSession::CallerSession(asio::ip::tcp::socket socket, std::shared_ptr<SessionContext> context)
+    : socket(std::move(socket))
+    , context(std::move(context))
+{
+    boost::system::error_code ignored;
+    this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    this->socket.set_option(UserTimeout(UserTimeoutMs), ignored);
+}
+
+net::awaitable<void> CallerSession::serve()
+{
+    const std::shared_ptr<CallerSession> self = this->shared_from_this();
+    bool open = true;
+    while (open && !(this->closing && !this->transaction)) {
+        const std::optional<std::string> line = co_await this->readLine();
+        if (!line) {
+            break;
+        }
+        this->receivedAt = core::Clock::now();
+        this->busy = true;
+        CallerMessage message = this->context->protocol->decode(*line);
+        if (message.kind == CallerMessageKind::Terminate) {
+            break;
+        }
+        if (!this->started) {
+            open = co_await this->start(message);
+            this->busy = false;
+            continue;
+        }
+        const std::string request = message.statement.id;
+        CallerReply reply = this->errorReply(CallerError::Malformed);
+        if (message.kind == CallerMessageKind::Statement) {
+            reply = co_await this->answer(std::move(message.statement));
+        }
+        this->logRefusal(request, reply);
+        std::string text = this->context->protocol->encode(reply);
+        open = co_await this->write(std::move(text));
+        this->busy = false;
+    }
+    co_await this->endTransaction();
+    this->close();
+}
+
+net::awaitable<std::optional<std::string>> CallerSession::readLine()
+{
+    auto [error, length]
+        = co_await asio::async_read_until(this->socket, asio::dynamic_buffer(this->input, MaxLineBytes), '\n', UseTuple);
+    if (error) {
+        co_return std::nullopt;
+    }
+    std::string line = this->input.substr(0, length - 1);
+    this->input.erase(0, length);
+    if (line.ends_with('\r')) {
+        line.pop_back();
+    }
+    co_return line;
+}
+
+net::awaitable<bool> CallerSession::write(std::string text)
+{
+    auto [error, written] = co_await asio::async_write(this->socket, asio::buffer(text), UseTuple);
+    co_return !error;
+}
+
+net::awaitable<bool> CallerSession::start(const CallerMessage &message)
+{
+    std::optional<CallerError> refused;
+    if (message.kind != CallerMessageKind::Start) {
+        refused = CallerError::Malformed;
+    } else {
+        this->database = message.start.database;
+        this->key = message.start.key;
+        OperationContext access;
+        refused = this->checkAccess(access);
+    }
+    if (refused) {
+        std::string text = this->context->protocol->encodeRefusedStart(*refused);
+        co_await this->write(std::move(text));
+        co_return false;
+    }
+    this->started = true;
+    std::string text = this->context->protocol->encodeStarted();
+    co_return co_await this->write(std::move(text));
+}
+
+std::optional<CallerError> CallerSession::checkAccess(OperationContext &access) const
+{
+    const GatewayView &view = *this->context->view;
+    const Route *const route = view.route(this->database);
+    if (route == nullptr) {
+        return CallerError::UnknownDatabase;
+    }
+    const auto workspace = view.configuration->workspaceByKey.find(this->key);
+    const bool known = workspace != view.configuration->workspaceByKey.end();
+    if (!known && !route->isOpen) {
+        return CallerError::UnknownKey;
+    }
+    access.database = this->database;
+    access.workspace = known ? workspace->second : std::string(OpenWorkspace);
+    access.route = *route;
+    access.transactionIdle = view.configuration->transactionIdle;
+    return std::nullopt;
+}
+
+CallerSession::Handler CallerSession::handlerOf(StatementKind kind)
+{
+    struct Row
+    {
+        StatementKind kind;
+        Handler handler;
+    };
+    static constexpr std::array Table{
+        Row{StatementKind::Begin, &CallerSession::begin},
+        Row{StatementKind::BeginReadOnly, &CallerSession::begin},
+        Row{StatementKind::Commit, &CallerSession::commit},
+        Row{StatementKind::Rollback, &CallerSession::rollback},
+        Row{StatementKind::Read, &CallerSession::runStatement},
+        Row{StatementKind::Write, &CallerSession::runStatement},
+        Row{StatementKind::Execute, &CallerSession::runStatement},
+        Row{StatementKind::SetValue, &CallerSession::setValue},
+        Row{StatementKind::Prepare, &CallerSession::prepare},
+        Row{StatementKind::Deallocate, &CallerSession::deallocate},
+    };
+    for (const Row &row : Table) {
+        if (row.kind == kind) {
+            return row.handler;
+        }
+    }
+    return &CallerSession::refuse;
+}
+
+net::awaitable<CallerReply> CallerSession::answer(Statement statement)
+{
+    const bool ends = statement.kind == StatementKind::Commit || statement.kind == StatementKind::Rollback;
+    if (this->transaction && this->transaction->failed && !ends) {
+        co_return this->errorReply(CallerError::Malformed);
+    }
+    const Handler handler = handlerOf(statement.kind);
+    co_return co_await (this->*handler)(std::move(statement));
+}
+
+net::awaitable<CallerReply> CallerSession::begin(Statement statement)
+{
+    if (this->transaction) {
+        co_return this->errorReply(CallerError::Malformed);
+    }
+    Transaction opened{.readOnly = statement.kind == StatementKind::BeginReadOnly};
+    const std::optional<CallerError> refused = co_await this->admit(opened.context);
+    if (refused) {
+        co_return this->errorReply(*refused);
+    }
+    this->transaction = std::move(opened);
+    co_return this->ownReply();
+}
+
+net::awaitable<std::optional<CallerError>> CallerSession::admit(OperationContext &operation)
+{
+    const std::optional<CallerError> refused = this->checkAccess(operation);
+    if (refused) {
+        co_return refused;
+    }
+    RateGate &rates = *this->context->rates;
+    if (!this->context->view->configuration->workspaces.contains(operation.workspace)) {
+        co_return std::nullopt;
+    }
+    rates.countDemand(operation.workspace);
+    const core::TimePoint waitUntil = this->receivedAt + operation.route.latencyObjective / RateWaitPart;
+    while (true) {
+        const core::TimePoint now = core::Clock::now();
+        if (rates.tryTake(operation.workspace, now)) {
+            co_return std::nullopt;
+        }
+        const core::Duration wait = rates.timeUntilNext(operation.workspace, now);
+        if (wait > waitUntil - now) {
+            co_return CallerError::OverRate;
+        }
+        asio::steady_timer pause(this->context->executor, wait);
+        co_await pause.async_wait(UseTuple);
+    }
+}
+
+net::awaitable<CallerReply> CallerSession::runStatement(Statement statement)
+{
+    bool writes = statement.kind == StatementKind::Write;
+    WorkUnit unit{.id = std::move(statement.id), .text = std::move(statement.text)};
+    if (statement.kind == StatementKind::Execute) {
+        const auto shape = this->prepared.find(statement.name);
+        if (shape == this->prepared.end()) {
+            co_return this->errorReply(CallerError::Malformed);
+        }
+        unit.prepared = shape->second;
+        writes = shape->second.writes;
+    }
+    if (this->transaction) {
+        co_return co_await this->runInTransaction(std::move(unit));
+    }
+    co_return co_await this->runSingle(std::move(unit), writes);
+}
+
+net::awaitable<CallerReply> CallerSession::runSingle(WorkUnit unit, bool writes)
+{
+    OperationContext operation;
+    const std::optional<CallerError> refused = co_await this->admit(operation);
+    if (refused) {
+        co_return this->errorReply(*refused);
+    }
+    operation.values = &this->values;
+    operation.sessionPosition = this->position;
+    operation.startedAt = this->receivedAt;
+    unit.kind = writes ? UnitKind::Write : UnitKind::ReplicaRead;
+    const StatementOutcome outcome
+        = co_await this->context->runner->run(std::move(operation), std::move(unit), !writes);
+    if (writes && outcome.result.outcome == UnitOutcome::Done) {
+        this->position = session::laterOf(this->position, outcome.result.position);
+    }
+    co_return this->reply(outcome.result, writes);
+}
+
+WorkUnit CallerSession::transactionUnit(UnitKind kind, std::string id) const
+{
+    const Transaction &open = *this->transaction;
+    const core::Milliseconds timeout = open.context.route.statementTimeout;
+    return {.kind = kind,
+            .server = open.place.server,
+            .workspace = open.context.workspace,
+            .id = std::move(id),
+            .values = this->values,
+            .lease = open.lease,
+            .priority = open.context.route.priority,
+            .queueLimit = timeout,
+            .statementLimit = timeout,
+            .idleLimit = open.context.transactionIdle};
+}
+
+net::awaitable<CallerReply> CallerSession::runInTransaction(WorkUnit unit)
+{
+    Transaction &open = *this->transaction;
+    StatementOutcome outcome;
+    if (open.aborted) {
+        open.failed = true;
+        co_return this->errorReply(CallerError::Aborted);
+    }
+    if (open.lease.empty()) {
+        OperationContext operation = open.context;
+        operation.values = &this->values;
+        operation.sessionPosition = this->position;
+        operation.startedAt = this->receivedAt;
+        unit.kind = UnitKind::OpenTransaction;
+        outcome = co_await this->context->runner->run(std::move(operation), std::move(unit), open.readOnly);
+        open.lease = outcome.result.lease;
+        open.place = outcome.place;
+    } else {
+        WorkUnit next = this->transactionUnit(UnitKind::InTransaction, std::move(unit.id));
+        next.text = std::move(unit.text);
+        next.prepared = std::move(unit.prepared);
+        UnitPlace place = open.place;
+        outcome = co_await this->context->runner->continueTransaction(std::move(place), std::move(next));
+    }
+    const UnitResult &result = outcome.result;
+    open.failed = result.outcome != UnitOutcome::Done || result.transactionFailed;
+    if (result.transactionFailed) {
+        open.lease.clear();
+    }
+    if (result.outcome == UnitOutcome::NotRun || result.outcome == UnitOutcome::Unknown) {
+        const bool neverStarted = open.lease.empty() && !result.transactionFailed;
+        const bool overloaded = neverStarted && result.error == UnitError::QueueFull;
+        co_return this->errorReply(overloaded ? CallerError::Overloaded : CallerError::Aborted);
+    }
+    co_return this->reply(result, true);
+}
+
+net::awaitable<CallerReply> CallerSession::commit(Statement statement)
+{
+    if (!this->transaction) {
+        co_return this->errorReply(CallerError::Malformed);
+    }
+    if (this->transaction->failed || this->transaction->aborted) {
+        co_await this->endTransaction();
+        co_return this->errorReply(CallerError::Aborted);
+    }
+    if (this->transaction->lease.empty()) {
+        // A commit needs a server's signature, so an empty transaction is opened to be committed.
+        co_return co_await this->commitEmpty(std::move(statement));
+    }
+    WorkUnit unit = this->transactionUnit(UnitKind::Commit, std::move(statement.id));
+    unit.text = std::move(statement.text);
+    UnitPlace place = this->transaction->place;
+    this->transaction->lease.clear();
+    const StatementOutcome outcome
+        = co_await this->context->runner->continueTransaction(std::move(place), std::move(unit));
+    this->transaction.reset();
+    const UnitResult &result = outcome.result;
+    if (result.outcome == UnitOutcome::Done) {
+        this->position = session::laterOf(this->position, result.position);
+    }
+    if (result.outcome == UnitOutcome::NotRun) {
+        co_return this->errorReply(CallerError::Aborted);
+    }
+    co_return this->reply(result, true);
+}
+
+net::awaitable<CallerReply> CallerSession::commitEmpty(Statement statement)
+{
+    Transaction &open = *this->transaction;
+    OperationContext operation = open.context;
+    operation.values = &this->values;
+    operation.sessionPosition = this->position;
+    operation.startedAt = this->receivedAt;
+    WorkUnit unit{.kind = UnitKind::OpenTransaction, .id = std::move(statement.id), .text = std::move(statement.text)};
+    const StatementOutcome outcome
+        = co_await this->context->runner->run(std::move(operation), std::move(unit), open.readOnly);
+    this->transaction.reset();
+    if (outcome.result.outcome == UnitOutcome::NotRun) {
+        co_return this->errorReply(CallerError::Aborted);
+    }
+    co_return this->reply(outcome.result, true);
+}
+
+net::awaitable<CallerReply> CallerSession::rollback(Statement)
+{
+    co_await this->endTransaction();
+    co_return this->ownReply();
+}
+
+net::awaitable<void> CallerSession::endTransaction()
+{
+    if (!this->transaction) {
+        co_return;
+    }
+    if (!this->transaction->lease.empty()) {
+        WorkUnit unit = this->transactionUnit(UnitKind::Rollback, {});
+        unit.queueLimit = RollbackLimit;
+        unit.statementLimit = RollbackLimit;
+        UnitPlace place = this->transaction->place;
+        // The caller does not wait for the server: a connection that is not rolled back in time is closed there.
+        auto finish = [context = this->context, place = std::move(place), unit = std::move(unit)]() mutable
+            -> net::awaitable<void> {
+            co_await context->runner->continueTransaction(std::move(place), std::move(unit));
+        };
+        asio::co_spawn(this->context->executor, std::move(finish), asio::detached);
+    }
+    this->transaction.reset();
+}
+
+net::awaitable<CallerReply> CallerSession::setValue(Statement statement)
+{
+    this->values.insert_or_assign(std::move(statement.name), std::move(statement.value));
+    co_return this->ownReply();
+}
+
+net::awaitable<CallerReply> CallerSession::prepare(Statement statement)
+{
+    this->prepared.insert_or_assign(std::move(statement.name), std::move(statement.shape));
+    co_return this->ownReply();
+}
+
+net::awaitable<CallerReply> CallerSession::deallocate(Statement statement)
+{
+    const auto found = this->prepared.find(statement.name);
+    if (found == this->prepared.end()) {
+        co_return this->errorReply(CallerError::Malformed);
+    }
+    this->prepared.erase(found);
+    co_return this->ownReply();
+}
+
+net::awaitable<CallerReply> CallerSession::refuse(Statement)
+{
+    co_return this->errorReply(CallerError::Malformed);
+}
+
+SessionState CallerSession::state() const
+{
+    if (!this->transaction) {
+        return SessionState::Idle;
+    }
+    return this->transaction->failed ? SessionState::TransactionFailed : SessionState::InTransaction;
+}
+
+CallerReply CallerSession::ownReply() const
+{
+    return {.state = this->state()};
+}
+
+CallerReply CallerSession::errorReply(CallerError error) const
+{
+    return {.error = error, .state = this->state()};
+}
+
+CallerReply CallerSession::reply(const UnitResult &result, bool writes)
+{
+    CallerReply answer{.rows = result.rows,
+                       .signature = result.signature,
+                       .state = this->state(),
+                       .position = result.position};
+    switch (result.outcome) {
+    case UnitOutcome::Done:
+        return answer;
+    case UnitOutcome::ServerError:
+        answer.error = CallerError::StatementFailed;
+        answer.errorText = result.errorText;
+        break;
+    case UnitOutcome::Unknown:
+        answer.error = result.error == UnitError::NoAnswer ? CallerError::TimedOut : CallerError::InDoubt;
+        break;
+    case UnitOutcome::NotRun:
+        answer.error = !writes && result.error == UnitError::NoAnswer ? CallerError::TimedOut : CallerError::Overloaded;
+        break;
+    }
+    return answer;
+}
+
+void CallerSession::logRefusal(const std::string &request, const CallerReply &answered) const
+{
+    if (!answered.error || this->context->log == nullptr) {
+        return;
+    }
+    const std::uint64_t version
+        = this->context->view->configuration == nullptr ? 0 : this->context->view->configuration->version;
+    this->context->log->line("statement_refused", telemetry::LogLevel::Warning)
+        .field("request", request)
+        .field("database", this->database)
+        .field("error", static_cast<int>(*answered.error))
+        .field("detail", answered.errorText)
+        .field("configuration_version", version)
+        .field("elapsed_ms", core::toMilliseconds(core::Clock::now() - this->receivedAt));
+}
+
+bool CallerSession::isIdle() const
+{
+    return !this->busy && !this->transaction;
+}
+
+bool CallerSession::inTransaction() const
+{
+    return this->transaction.has_value();
+}
+
+void CallerSession::closeWhenIdle()
+{
+    this->closing = true;
+    if (this->isIdle() && this->input.empty()) {
+        this->close();
+    }
+}
+
+void CallerSession::abortTransaction()
+{
+    this->closing = true;
+    if (this->transaction) {
+        this->transaction->aborted = true;
+    }
+    if (!this->busy) {
+        this->close();
+    }
+}
+
+void CallerSession::close()
+{
+    boost::system::error_code ignored;
+    this->socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    this->socket.close(ignored);
+}
+
+}
--- /dev/null
+++ b/gateway/daemonlease.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "core/boottime.h"
+#include "gateway/metadatastore.h"
+#include "telemetry/decisionlog.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace endiveshore::gateway {
+
+struct DaemonLeaseOptions
+{
+    std::string daemonId;
+    std::string registration; ///< Value of this daemon's key.
+};
+
+struct DaemonLeaseCallbacks
+{
+    std::function<void()> onContact; ///< The store has answered a renewal.
+    std::function<void(std::uint64_t electionRevision)> onElected;
+    std::function<void(std::string reason)> onDutyLost;
+};
+
+/// Registers this daemon in the metadata store under a lease, and takes the promotion duty when nobody holds it. Runs on
+/// the control thread.
+class DaemonLease : public std::enable_shared_from_this<DaemonLease>
+{
+public:
+    DaemonLease(net::Executor executor,
+                std::shared_ptr<MetadataStore> store,
+                DaemonLeaseOptions options,
+                DaemonLeaseCallbacks callbacks,
+                telemetry::DecisionLog &log);
+
+    /// Keeps the lease until stop().
+    net::awaitable<void> run();
+
+    /// Gives up the duty and the lease at once.
+    net::awaitable<void> stop();
+
+    /// Takes over what the store says of the duty's key.
+    void onDutyItem(const MetadataItem &item);
+
+    /// The store has been read; without a call of onDutyItem() nobody holds the duty.
+    void onStoreRead();
+
+    /// True while no other daemon can have been elected.
+    bool holdsDuty() const;
+
+    /// True if this daemon was elected and has not heard of another holder, whether or not its lease still runs.
+    bool wasElected() const;
+
+    /// Another holder has used a higher fence.
+    void loseDuty(std::string reason);
+
+    static std::string dutyKey();
+    static std::string registrationPrefix();
+
+private:
+    net::awaitable<void> renew();
+    net::awaitable<void> obtain();
+    net::awaitable<void> seekDuty();
+
+    net::Executor executor;
+    std::shared_ptr<MetadataStore> store;
+    DaemonLeaseOptions options;
+    DaemonLeaseCallbacks callbacks;
+    telemetry::DecisionLog &log;
+    std::uint64_t lease = 0;
+    core::BootTime leaseUntil;
+    std::optional<MetadataItem> duty; ///< Key of the duty, as last seen.
+    bool dutyKnown = false; ///< The store has said whether the key exists.
+    std::uint64_t electionRevision = 0; ///< 0 if not elected.
+    bool seeking = false;
+    bool stopped = false;
+};
+
+}
--- /dev/null
+++ b/gateway/gatewaydaemon.cpp
@@ -0,0 +1,540 @@
+#include "gateway/gatewaydaemon.h"
+
+#include "core/error.h"
+#include "core/json.h"
+#include "daemon/daemondetail.h"
+#include "membership/homeorder.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace endiveshore::gateway {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+
+constexpr std::chrono::milliseconds TickInterval{100};
+constexpr std::chrono::milliseconds ReportInterval{250};
+/// Weight of the newest report interval in the average demand.
+constexpr double DemandWeight = 0.3;
+constexpr std::chrono::milliseconds SettingsInterval{1'000};
+constexpr std::chrono::milliseconds ConfigurationTimeout{1'500};
+/// Another daemon's contact with the store within this time shows that the store is not away for everybody.
+constexpr std::chrono::milliseconds StoreContactAge{2'500};
+/// Daemons in the order of homes of a server: the home and those that are tried when it cannot reach the server.
+constexpr std::size_t HomesPerServer = 4;
+/// The balancer takes a daemon out after two missed questions, one second apart.
+constexpr std::chrono::milliseconds BalancerLag{2'200};
+/// Idle sessions are closed in this many steps over the time that is left of the grace.
+constexpr unsigned CloseSteps = 10;
+/// Time that the end of the process takes after its last session.
+constexpr std::chrono::milliseconds ExitReserve{500};
+
+std::string datagramAddress(const net::TcpEndpoint &endpoint)
+{
+    return net::formatEndpoint({endpoint.address(), endpoint.port()});
+}
+
+}
+
+GatewayDaemon::GatewayDaemon(PlatformAdapter platformAdapter, telemetry::LogOptions logOptions)
+    : adapter(std::move(platformAdapter))
+    , log(std::move(logOptions))
+    , traffic(TrafficCoreOptions{.deployment = this->adapter.deployment,
+                                 .links = this->adapter.links,
+                                 .protocol = this->adapter.callerProtocol.get(),
+                                 .log = &this->log,
+                                 .metrics = &this->metrics})
+    , peers(this->context.get_executor())
+    , shares(this->adapter.deployment.daemonId, core::Clock::now())
+{
+}
+
+int GatewayDaemon::run()
+{
+    const Deployment &deployment = this->adapter.deployment;
+    this->log.line("started")
+        .field("daemon", deployment.daemonId)
+        .field("data_centre", deployment.dataCentre)
+        .field("version", ENDIVESHORE_VERSION);
+    if (!this->adapter.metricsAddress.empty()) {
+        this->metrics.expose(this->adapter.metricsAddress);
+    }
+    this->traffic.start();
+    this->startReadiness();
+    this->startMembership();
+    this->startStore();
+    asio::co_spawn(this->context, this->tickLoop(), asio::detached);
+    asio::co_spawn(this->context, this->reportLoop(), asio::detached);
+    asio::co_spawn(this->context, this->watchSettings(), asio::detached);
+    asio::co_spawn(this->context, this->signalLoop(), asio::detached);
+    this->context.run();
+    this->traffic.stop();
+    this->log.line("stopped");
+    return 0;
+}
+
+void GatewayDaemon::startReadiness()
+{
+    this->readiness = std::make_shared<net::HttpServer>(
+        [this](net::HttpRequest request, net::HttpConnection &) -> net::awaitable<net::HttpResponse> {
+            co_return this->answerReadiness(request);
+        });
+    this->readiness->listen(this->context.get_executor(), this->adapter.deployment.readinessListen);
+}
+
+net::HttpResponse GatewayDaemon::answerReadiness(const net::HttpRequest &request) const
+{
+    constexpr int Ready = 200;
+    constexpr int NotReady = 503;
+    if (request.target != this->adapter.readinessPath) {
+        return net::errorResponse(core::ResultCode::UnknownPath, core::Outcome::NotRun, request.target);
+    }
+    return {.status = this->isReady() ? Ready : NotReady};
+}
+
+bool GatewayDaemon::isReady() const
+{
+    return !this->leaving && this->sync->configuration() != nullptr && !this->sync->servers().empty();
+}
+
+void GatewayDaemon::startMembership()
+{
+    const Deployment &deployment = this->adapter.deployment;
+    std::vector<std::string> seeds;
+    for (const net::TcpEndpoint &seed : deployment.seeds) {
+        seeds.push_back(datagramAddress(seed));
+    }
+    daemon::GossipServiceOptions options{
+        .gossip = {.id = deployment.daemonId,
+                   .address = datagramAddress(deployment.peerListen),
+                   .dataCentre = deployment.dataCentre,
+                   .region = deployment.region,
+                   .incarnation = daemon::startIncarnation(),
+                   .seed = daemon::startIncarnation(),
+                   .seeds = std::move(seeds)},
+        .listen = {deployment.peerListen.address(), deployment.peerListen.port()}};
+    daemon::GossipCallbacks callbacks{.onMember = [this](const membership::MemberEvent &event) {
+        this->log.line("daemon_changed")
+            .field("peer", event.member.id)
+            .field("state", membership::memberStateName(event.member.state));
+        if (event.kind == membership::MemberEventKind::Left) {
+            this->shares.forget(event.member.id);
+        }
+        this->scheduleView();
+    }};
+    this->gossip = std::make_shared<daemon::GossipService>(
+        this->context.get_executor(), std::move(options), std::move(callbacks));
+    this->gossip->start();
+    this->reports = std::make_shared<net::UdpSocket>(this->context.get_executor());
+    this->reports->open({deployment.reportListen.address(), deployment.reportListen.port()},
+                        [this](const net::UdpEndpoint &, std::string_view payload) { this->receiveReport(payload); });
+}
+
+void GatewayDaemon::startStore()
+{
+    const net::Executor executor = this->context.get_executor();
+    this->store
+        = this->adapter.openStore(executor, [this] { return this->adapter.deployment.metadataStore; });
+    MetadataCallbacks callbacks{
+        .onConfiguration = [this](const std::shared_ptr<const Configuration> &) { this->publishView(); },
+        .onServers = [this] { this->applyServers(); },
+        .onOwnItem = [this](const MetadataItem &item) { this->applyOwnItem(item); },
+        .onComplete = [this] { this->lease->onStoreRead(); }};
+    this->sync
+        = std::make_shared<MetadataSync>(executor, this->store, this->adapter.format, std::move(callbacks), this->log);
+    const Deployment &deployment = this->adapter.deployment;
+    const json::object registration{{"address", datagramAddress(deployment.peerListen)},
+                                    {"data_centre", deployment.dataCentre}};
+    DaemonLeaseCallbacks leaseCallbacks{
+        .onContact = [this] { this->renewedAt = core::Clock::now(); },
+        .onElected = [this](std::uint64_t revision) { this->duty->start(revision); },
+        .onDutyLost = [this](const std::string &) { this->duty->stop(); }};
+    this->lease = std::make_shared<DaemonLease>(
+        executor,
+        this->store,
+        DaemonLeaseOptions{.daemonId = deployment.daemonId, .registration = json::serialize(registration)},
+        std::move(leaseCallbacks),
+        this->log);
+    PromotionDutySurroundings surroundings{
+        .ask = [this](pooling::WorkUnit unit) { return this->traffic.ask(std::move(unit)); },
+        .view = [this] { return this->view; },
+        .mayAct = [this] { return this->mayOrderPromotions(); },
+        .onPromoted = [this](const std::string &service, const std::string &server, std::uint64_t fence) {
+            this->applyPromotion(service, server, fence);
+            this->sendReport();
+        },
+        .onDenied = [this](const std::string &service, const std::string &server) {
+            this->primaries.denied(service, server);
+            this->scheduleView();
+        },
+        .onFenced = [this] {
+            if (!this->lease->holdsDuty()) {
+                this->lease->loseDuty("a higher fence was used");
+            }
+        },
+        .readStatus = this->adapter.readStatus};
+    std::shared_ptr<PromotionService> orders
+        = this->adapter.openPromotions(executor, [this] { return this->adapter.deployment.promotionService; });
+    this->duty = std::make_shared<PromotionDuty>(
+        executor, deployment.daemonId, std::move(orders), std::move(surroundings), this->log);
+    asio::co_spawn(executor, this->sync->run(), asio::detached);
+    asio::co_spawn(executor, this->lease->run(), asio::detached);
+}
+
+core::Milliseconds GatewayDaemon::storeAge() const
+{
+    const core::TimePoint contact = std::max(this->sync->lastContact().value_or(core::TimePoint()),
+                                             this->renewedAt.value_or(core::TimePoint()));
+    return std::chrono::duration_cast<core::Milliseconds>(core::Clock::now() - contact);
+}
+
+bool GatewayDaemon::mayOrderPromotions() const
+{
+    if (this->lease->holdsDuty()) {
+        return true;
+    }
+    if (!this->lease->wasElected()) {
+        return false;
+    }
+    // The lease has run out unrenewed. Another daemon can have been elected only if the store answers somebody.
+    const core::TimePoint now = core::Clock::now();
+    return std::ranges::none_of(this->storeAges, [&](const auto &entry) {
+        const auto reported = this->reportedAt.find(entry.first);
+        return reported != this->reportedAt.end() && now - reported->second + entry.second < StoreContactAge;
+    });
+}
+
+void GatewayDaemon::applyOwnItem(const MetadataItem &item)
+{
+    if (item.key == DaemonLease::dutyKey()) {
+        this->lease->onDutyItem(item);
+        return;
+    }
+    const std::string prefix = DaemonLease::registrationPrefix();
+    if (!item.key.starts_with(prefix)) {
+        return;
+    }
+    const std::string id = item.key.substr(prefix.size());
+    if (item.isRemoved) {
+        this->registered.erase(id);
+        return;
+    }
+    this->registered.insert_or_assign(id, true);
+    std::vector<std::string> seeds;
+    for (const net::TcpEndpoint &seed : this->adapter.deployment.seeds) {
+        seeds.push_back(datagramAddress(seed));
+    }
+    boost::system::error_code error;
+    const json::value value = json::parse(item.value, error);
+    if (!error && value.is_object()) {
+        seeds.push_back(core::jsonString(value.as_object(), "address"));
+    }
+    this->gossip->setSeeds(std::move(seeds));
+}
+
+void GatewayDaemon::applyServers()
+{
+    for (const auto &[id, server] : this->sync->servers()) {
+        this->primaries.reportRole(server.service, id, server.claimsPrimary, server.revision);
+    }
+    for (const auto &[id, server] : this->view->servers) {
+        if (!this->sync->servers().contains(id)) {
+            this->primaries.remove(server.service, id);
+        }
+    }
+    this->publishView();
+}
+
+void GatewayDaemon::applyPromotion(const std::string &service, const std::string &server, std::uint64_t fence)
+{
+    if (!this->primaries.promoted(service, server, fence)) {
+        return;
+    }
+    this->log.line("primary_changed").field("service", service).field("server", server).field("fence", fence);
+    this->publishView();
+}
+
+void GatewayDaemon::scheduleView()
+{
+    if (this->viewPending) {
+        return;
+    }
+    this->viewPending = true;
+    asio::post(this->context, [this] {
+        this->viewPending = false;
+        this->publishView();
+    });
+}
+
+void GatewayDaemon::addHomes(GatewayView &next) const
+{
+    std::vector<membership::HomeCandidate> candidates;
+    for (const auto &[id, daemon] : next.daemons) {
+        if (!this->leavingDaemons.contains(id)) {
+            candidates.push_back({.id = id,
+                                  .dataCentre = daemon.dataCentre,
+                                  .region = std::string(next.regionOf(daemon.dataCentre))});
+        }
+    }
+    for (const auto &[id, server] : next.servers) {
+        next.homes.emplace(
+            id,
+            membership::homeOrder(
+                id, server.dataCentre, next.regionOf(server.dataCentre), candidates, HomesPerServer));
+    }
+}
+
+void GatewayDaemon::publishView()
+{
+    const Deployment &deployment = this->adapter.deployment;
+    GatewayView next;
+    next.configuration = this->sync->configuration();
+    next.servers = this->sync->servers();
+    next.regionOfDataCentre = deployment.regionOfDataCentre;
+    next.self = deployment.daemonId;
+    next.isLeaving = this->leaving;
+    next.daemons.emplace(
+        deployment.daemonId,
+        PeerDaemon{
+            .id = deployment.daemonId, .endpoint = deployment.peerListen, .dataCentre = deployment.dataCentre});
+    for (const membership::Member &member : this->gossip->membership().members()) {
+        if (member.id == deployment.daemonId || !daemon::isLive(member)) {
+            continue;
+        }
+        next.daemons.emplace(member.id,
+                             PeerDaemon{.id = member.id,
+                                        .endpoint = net::parseEndpoint(member.address),
+                                        .dataCentre = member.dataCentre});
+    }
+    for (const auto &[id, server] : next.servers) {
+        if (!next.primaries.contains(server.service)) {
+            const std::string primary = this->primaries.primaryOf(server.service);
+            if (!primary.empty()) {
+                next.primaries.emplace(server.service, primary);
+            }
+        }
+    }
+    this->addHomes(next);
+    if (next.configuration != nullptr) {
+        this->gossip->setConfigRevision(next.configuration->version, false);
+    }
+    this->view = std::make_shared<const GatewayView>(std::move(next));
+    this->traffic.publish(this->view);
+}
+
+net::awaitable<void> GatewayDaemon::tickLoop()
+{
+    asio::steady_timer timer(this->context);
+    while (true) {
+        timer.expires_after(TickInterval);
+        co_await timer.async_wait(UseTuple);
+        this->sync->tick(core::Clock::now());
+    }
+}
+
+net::awaitable<void> GatewayDaemon::reportLoop()
+{
+    asio::steady_timer timer(this->context);
+    core::TimePoint previous = core::Clock::now();
+    while (true) {
+        timer.expires_after(ReportInterval);
+        co_await timer.async_wait(UseTuple);
+        const auto wanted = co_await this->traffic.takeDemand();
+        const core::TimePoint now = core::Clock::now();
+        const double seconds = std::chrono::duration<double>(now - previous).count();
+        previous = now;
+        for (const auto &[workspace, count] : wanted) {
+            this->demand.try_emplace(workspace, 0);
+        }
+        for (auto &[workspace, rate] : this->demand) {
+            const auto found = wanted.find(workspace);
+            const double current = found == wanted.end() ? 0 : static_cast<double>(found->second) / seconds;
+            rate += DemandWeight * (current - rate);
+        }
+        this->updateShares();
+        this->sendReport();
+    }
+}
+
+void GatewayDaemon::updateShares()
+{
+    const core::TimePoint now = core::Clock::now();
+    this->shares.setOwnDemand(this->demand);
+    const core::Milliseconds age = this->storeAge();
+    if (age < ReportInterval * 2) {
+        this->shares.setLeaseHolders(this->registered, now);
+    }
+    const std::shared_ptr<const Configuration> configuration = this->sync->configuration();
+    if (configuration == nullptr) {
+        return;
+    }
+    auto next = std::make_shared<RateShares>();
+    for (const auto &[name, workspace] : configuration->workspaces) {
+        next->emplace(name, this->shares.share(name, workspace.limits.ratePerSecond, now));
+    }
+    this->traffic.publishShares(std::move(next));
+}
+
+void GatewayDaemon::sendReport()
+{
+    const std::shared_ptr<const Configuration> configuration = this->sync->configuration();
+    const DaemonReport report{.daemon = this->adapter.deployment.daemonId,
+                              .demand = this->demand,
+                              .configurationVersion = configuration == nullptr ? 0 : configuration->version,
+                              .storeAge = this->storeAge(),
+                              .isLeaving = this->leaving,
+                              .promotions = this->primaries.promotions()};
+    const std::string payload = json::serialize(toJson(report));
+    const std::uint16_t port = this->adapter.deployment.reportListen.port();
+    for (const auto &[id, peer] : this->view->daemons) {
+        if (id != this->adapter.deployment.daemonId) {
+            this->reports->send({peer.endpoint.address(), port}, payload);
+        }
+    }
+}
+
+void GatewayDaemon::receiveReport(std::string_view payload)
+{
+    DaemonReport report;
+    try {
+        report = core::valueOrThrow([payload]() -> boost::leaf::result<DaemonReport> {
+            BOOST_LEAF_AUTO(body, core::parseJsonObject(payload));
+            return daemonReportFromJson(body);
+        });
+    } catch (const core::Error &error) {
+        this->log.line("report_unreadable", telemetry::LogLevel::Warning).field("reason", error.message);
+        return;
+    }
+    const core::TimePoint now = core::Clock::now();
+    const bool wasLeaving = this->leavingDaemons.contains(report.daemon);
+    if (report.isLeaving != wasLeaving) {
+        if (report.isLeaving) {
+            this->leavingDaemons.insert(report.daemon);
+        } else {
+            this->leavingDaemons.erase(report.daemon);
+        }
+        this->scheduleView();
+    }
+    this->shares.report(report.daemon, std::move(report.demand), now);
+    this->storeAges[report.daemon] = report.storeAge;
+    this->reportedAt[report.daemon] = now;
+    for (const auto &[service, promotion] : report.promotions) {
+        this->applyPromotion(service, promotion.server, promotion.fence);
+    }
+    const std::shared_ptr<const Configuration> configuration = this->sync->configuration();
+    const std::uint64_t version = configuration == nullptr ? 0 : configuration->version;
+    const auto peer = this->view->daemons.find(report.daemon);
+    if (report.configurationVersion > version && !this->fetching && peer != this->view->daemons.end()) {
+        this->fetching = true;
+        asio::co_spawn(this->context, this->fetchConfiguration(peer->second.endpoint), asio::detached);
+    }
+}
+
+net::awaitable<void> GatewayDaemon::fetchConfiguration(net::TcpEndpoint endpoint)
+{
+    net::HttpRequest request{.target = std::string(ConfigurationPath)};
+    try {
+        const net::HttpResponse response
+            = co_await this->peers.exchange(endpoint, std::move(request), ConfigurationTimeout);
+        if (!response.body.empty()) {
+            this->sync->offerConfiguration(response.body);
+        }
+    } catch (const core::Error &error) {
+        this->log.line("configuration_not_fetched", telemetry::LogLevel::Warning).field("reason", error.message);
+    }
+    this->fetching = false;
+}
+
+net::awaitable<void> GatewayDaemon::watchSettings()
+{
+    asio::steady_timer timer(this->context);
+    while (true) {
+        timer.expires_after(SettingsInterval);
+        co_await timer.async_wait(UseTuple);
+        this->reloadSettings();
+    }
+}
+
+void GatewayDaemon::reloadSettings()
+{
+    try {
+        Deployment read = this->adapter.reload();
+        if (read.text == this->adapter.deployment.text) {
+            return;
+        }
+        this->log.line("settings_changed");
+        // Listening addresses and the daemon's identity hold for the life of the process.
+        this->adapter.deployment.text = read.text;
+        this->adapter.deployment.metadataStore = read.metadataStore;
+        this->adapter.deployment.promotionService = read.promotionService;
+        this->adapter.deployment.seeds = std::move(read.seeds);
+        this->adapter.deployment.stopGrace = read.stopGrace;
+    } catch (const core::Error &error) {
+        this->log.line("settings_unreadable", telemetry::LogLevel::Error).field("reason", error.message);
+    }
+}
+
+net::awaitable<void> GatewayDaemon::signalLoop()
+{
+    asio::signal_set signals(this->context, SIGTERM, SIGINT, SIGHUP);
+    while (true) {
+        auto [error, signal] = co_await signals.async_wait(UseTuple);
+        if (error) {
+            co_return;
+        }
+        if (signal == SIGHUP) {
+            this->reloadSettings();
+            continue;
+        }
+        co_await this->shutDown();
+        co_return;
+    }
+}
+
+net::awaitable<void> GatewayDaemon::shutDown()
+{
+    const core::TimePoint start = core::Clock::now();
+    const core::Milliseconds grace = this->adapter.deployment.stopGrace;
+    this->log.line("stopping").field("grace_ms", grace.count());
+    this->leaving = true;
+    this->publishView();
+    this->sendReport();
+    asio::co_spawn(this->context, this->lease->stop(), asio::detached);
+    asio::steady_timer timer(this->context);
+    timer.expires_at(start + BalancerLag);
+    co_await timer.async_wait(UseTuple);
+    const core::TimePoint last = start + grace - ExitReserve;
+    const core::TimePoint transactionEnd = start + grace / 2;
+    const core::Duration step = (last - core::Clock::now()) / (CloseSteps + 2);
+    bool aborted = false;
+    for (unsigned remaining = CloseSteps; core::Clock::now() < last; remaining = std::max(1U, remaining - 1)) {
+        this->traffic.closeIdleSessions(remaining);
+        if (!aborted && core::Clock::now() >= transactionEnd) {
+            aborted = true;
+        }
+        if (aborted) {
+            this->traffic.abortTransactions();
+        }
+        timer.expires_after(step);
+        co_await timer.async_wait(UseTuple);
+        const std::size_t open = co_await this->traffic.sessionCount();
+        if (open == 0) {
+            break;
+        }
+    }
+    this->gossip->leave();
+    this->log.line("left").field("after_ms", core::toMilliseconds(core::Clock::now() - start));
+    this->context.stop();
+}
+
+}
--- /dev/null
+++ b/gateway/gatewaydaemon.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "daemon/gossipservice.h"
+#include "gateway/daemonlease.h"
+#include "gateway/daemonreport.h"
+#include "gateway/metadatasync.h"
+#include "gateway/promotionduty.h"
+#include "gateway/trafficcore.h"
+#include "net/httpserver.h"
+
+#include <boost/asio/signal_set.hpp>
+
+namespace endiveshore::gateway {
+
+/// What the daemon needs from the adapter to a platform.
+struct PlatformAdapter
+{
+    Deployment deployment;
+    MetadataFormat format;
+    std::string readinessPath;
+    StatusReader readStatus;
+    ServerLinkFactory links;
+    std::shared_ptr<const CallerProtocol> callerProtocol;
+    /// Reads the settings again. Throws core::Error(InvalidSetting).
+    std::function<Deployment()> reload;
+    /// The functions return the current addresses, which may change while the daemon runs.
+    std::function<std::shared_ptr<MetadataStore>(net::Executor executor, std::function<net::TcpEndpoint()> endpoint)>
+        openStore;
+    std::function<std::shared_ptr<PromotionService>(net::Executor executor, std::function<net::TcpEndpoint()> endpoint)>
+        openPromotions;
+    std::string metricsAddress; ///< Empty: none.
+};
+
+/// A daemon that serves caller sessions on a platform: the control thread and one traffic thread.
+class GatewayDaemon
+{
+public:
+    explicit GatewayDaemon(PlatformAdapter adapter, telemetry::LogOptions logOptions);
+
+    /// Runs until the process is asked to stop; returns the exit code.
+    int run();
+
+private:
+    void startMembership();
+    void startReadiness();
+    void startStore();
+    net::awaitable<void> tickLoop();
+    net::awaitable<void> reportLoop();
+    net::awaitable<void> signalLoop();
+    net::awaitable<void> watchSettings();
+    net::awaitable<void> shutDown();
+    net::awaitable<void> fetchConfiguration(net::TcpEndpoint endpoint);
+    net::HttpResponse answerReadiness(const net::HttpRequest &request) const;
+    void receiveReport(std::string_view payload);
+    void sendReport();
+    void applyOwnItem(const MetadataItem &item);
+    void applyServers();
+    void applyPromotion(const std::string &service, const std::string &server, std::uint64_t fence);
+    void scheduleView();
+    void publishView();
+    void reloadSettings();
+    void updateShares();
+    bool isReady() const;
+    bool mayOrderPromotions() const;
+    core::Milliseconds storeAge() const;
+    void addHomes(GatewayView &view) const;
+
+    PlatformAdapter adapter;
+    telemetry::DecisionLog log;
+    telemetry::Metrics metrics;
+    boost::asio::io_context context{1};
+    TrafficCore traffic;
+    std::shared_ptr<MetadataStore> store;
+    std::shared_ptr<MetadataSync> sync;
+    std::shared_ptr<DaemonLease> lease;
+    std::shared_ptr<PromotionDuty> duty;
+    std::shared_ptr<daemon::GossipService> gossip;
+    std::shared_ptr<net::UdpSocket> reports;
+    std::shared_ptr<net::HttpServer> readiness;
+    net::PeerClient peers;
+    failover::PrimaryTracker primaries;
+    limits::DemandShares shares;
+    limits::Demand demand; ///< Decayed average of this daemon.
+    std::map<std::string, core::Milliseconds, std::less<>> storeAges; ///< Of other daemons, as reported.
+    std::map<std::string, core::TimePoint, std::less<>> reportedAt;
+    std::set<std::string> leavingDaemons;
+    std::map<std::string, bool, std::less<>> registered; ///< Daemons with a key in the metadata store.
+    std::shared_ptr<const GatewayView> view = std::make_shared<GatewayView>();
+    std::optional<core::TimePoint> renewedAt; ///< Last renewal of the lease.
+    bool viewPending = false;
+    bool fetching = false;
+    bool leaving = false;
+};
+
+}
--- /dev/null
+++ b/gateway/gatewayview.cpp
@@ -0,0 +1,32 @@
+#include "gateway/gatewayview.h"
+
+namespace endiveshore::gateway {
+
+std::string_view GatewayView::regionOf(std::string_view dataCentre) const
+{
+    const auto found = this->regionOfDataCentre.find(dataCentre);
+    return found == this->regionOfDataCentre.end() ? std::string_view() : std::string_view(found->second);
+}
+
+const Route *GatewayView::route(std::string_view database) const
+{
+    if (this->configuration == nullptr) {
+        return nullptr;
+    }
+    const auto found = this->configuration->routes.find(database);
+    return found == this->configuration->routes.end() ? nullptr : &found->second;
+}
+
+const BackendServer *GatewayView::server(std::string_view id) const
+{
+    const auto found = this->servers.find(id);
+    return found == this->servers.end() ? nullptr : &found->second;
+}
+
+const BackendServer *GatewayView::primary(std::string_view service) const
+{
+    const auto found = this->primaries.find(service);
+    return found == this->primaries.end() ? nullptr : this->server(found->second);
+}
+
+}
--- /dev/null
+++ b/gateway/gatewayview.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "gateway/configuration.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace endiveshore::gateway {
+
+/// Another daemon, or this one.
+struct PeerDaemon
+{
+    std::string id;
+    net::TcpEndpoint endpoint;
+    std::string dataCentre;
+};
+
+/// What the control thread believes, as of one moment. Immutable; traffic threads read it without locks.
+struct GatewayView
+{
+    std::shared_ptr<const Configuration> configuration;
+    ServerCatalogue servers;
+    std::map<std::string, std::string, std::less<>> primaries; ///< Server id by service.
+    std::map<std::string, PeerDaemon, std::less<>> daemons; ///< Live ones, this one included.
+    std::map<std::string, std::vector<std::string>, std::less<>> homes; ///< Daemon ids by server, preferred first.
+    std::map<std::string, std::string, std::less<>> regionOfDataCentre;
+    std::string self; ///< Id of this daemon.
+    bool isLeaving = false;
+
+    /// Region of @p dataCentre; empty if it is not known.
+    std::string_view regionOf(std::string_view dataCentre) const;
+    const Route *route(std::string_view database) const;
+    const BackendServer *server(std::string_view id) const;
+    const BackendServer *primary(std::string_view service) const;
+};
+
+}
--- /dev/null
+++ b/gateway/operationrunner.cpp
@@ -0,0 +1,299 @@
+#include "gateway/operationrunner.h"
+
+#include "core/error.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace endiveshore::gateway {
+
+namespace asio = boost::asio;
+using pooling::UnitError;
+using pooling::UnitKind;
+using pooling::UnitOutcome;
+using pooling::UnitResult;
+using pooling::WorkUnit;
+
+namespace {
+
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+
+/// Part of the latency objective for which a statement is held while no server can run it, for example during a change
+/// of primary. Later the caller does better elsewhere.
+constexpr double HoldPart = 0.8;
+/// Pause before the next attempt while nothing can run the statement.
+constexpr std::chrono::milliseconds RetryPause{40};
+/// A replica that lacked a position, or a server with a full queue, is passed over for this long by reads.
+constexpr std::chrono::milliseconds BehindPenalty{200};
+constexpr std::chrono::milliseconds QueuePenalty{50};
+constexpr std::chrono::milliseconds LostPenalty{500};
+/// A proof must reach the server within the age that a route accepts; this much of the age is left for the way.
+constexpr std::chrono::milliseconds ProofMargin{100};
+/// Proofs are renewed when this part of the accepted age has passed.
+constexpr int ProofRenewalPart = 2;
+constexpr std::chrono::seconds ProofInterest{3};
+constexpr std::chrono::milliseconds ProofLimit{500};
+
+std::chrono::milliseconds milliseconds(core::Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+}
+
+bool isFinal(const UnitResult &result, bool writes)
+{
+    switch (result.outcome) {
+    case UnitOutcome::Done:
+    case UnitOutcome::Unknown:
+        return true;
+    case UnitOutcome::ServerError:
+        return writes || result.error != UnitError::Failed;
+    case UnitOutcome::NotRun:
+        return false;
+    }
+    return true;
+}
+
+}
+
+OperationRunner::OperationRunner(net::Executor executor, WorkRouter &router, telemetry::DecisionLog *log)
+    : executor(std::move(executor))
+    , router(router)
+    , log(log)
+{
+}
+
+void OperationRunner::setView(std::shared_ptr<const GatewayView> newView)
+{
+    this->view = std::move(newView);
+}
+
+int OperationRunner::distance(const BackendServer &server) const
+{
+    const auto self = this->view->daemons.find(this->view->self);
+    if (self == this->view->daemons.end() || self->second.dataCentre == server.dataCentre) {
+        return 0;
+    }
+    return this->view->regionOf(self->second.dataCentre) == this->view->regionOf(server.dataCentre) ? 1 : 2;
+}
+
+bool OperationRunner::isPenalised(const std::string &server, core::TimePoint now) const
+{
+    const auto found = this->penalisedUntil.find(server);
+    return found != this->penalisedUntil.end() && now < found->second;
+}
+
+void OperationRunner::penalise(const std::string &server, core::Duration time)
+{
+    this->penalisedUntil[server] = core::Clock::now() + time;
+}
+
+std::vector<const BackendServer *> OperationRunner::readOrder(const Route &route) const
+{
+    const BackendServer *const primary = this->view->primary(route.service);
+    std::vector<std::pair<int, const BackendServer *>> ranked;
+    for (const auto &[id, server] : this->view->servers) {
+        if (server.service != route.service || (server.isLeaving && &server != primary)) {
+            continue;
+        }
+        // A primary is used after the replicas of its own region, but before those across the narrow link.
+        constexpr int RankSteps = 2;
+        constexpr int PrimaryStep = 3;
+        const int rank = this->distance(server) * RankSteps + (&server == primary ? PrimaryStep : 0);
+        ranked.emplace_back(rank, &server);
+    }
+    std::ranges::stable_sort(ranked, {}, &std::pair<int, const BackendServer *>::first);
+    std::vector<const BackendServer *> order;
+    for (const auto &[rank, server] : ranked) {
+        order.push_back(server);
+    }
+    return order;
+}
+
+std::optional<OperationRunner::ReadPlan> OperationRunner::planRead(const OperationContext &context, core::TimePoint now)
+{
+    const Route &route = context.route;
+    const BackendServer *const primary = this->view->primary(route.service);
+    if (route.kind == RouteKind::Primary) {
+        if (primary == nullptr) {
+            return std::nullopt;
+        }
+        return ReadPlan{.server = primary, .atPrimary = true};
+    }
+    ServiceState &state = this->services[route.service];
+    state.readUntil = now + ProofInterest;
+    state.proofAge = route.maximumAge - ProofMargin;
+    state.workspace = context.workspace;
+    const std::optional<session::LogPosition> proven
+        = state.proofs.within(route.maximumAge - ProofMargin, core::BootClock::now());
+    std::optional<ReadPlan> fallback;
+    for (const BackendServer *const server : this->readOrder(route)) {
+        const bool atPrimary = server == primary;
+        if (!atPrimary && !proven) {
+            continue;
+        }
+        const session::LogPosition minimum
+            = proven ? session::laterOf(*proven, context.sessionPosition) : session::LogPosition();
+        const ReadPlan plan{.server = server, .atPrimary = atPrimary, .minimum = minimum};
+        if (!this->isPenalised(server->id, now)) {
+            return plan;
+        }
+        if (!fallback || atPrimary) {
+            fallback = plan;
+        }
+    }
+    return fallback;
+}
+
+net::awaitable<StatementOutcome> OperationRunner::run(OperationContext context, WorkUnit unit, bool readOnly)
+{
+    const bool opensTransaction = unit.kind == UnitKind::OpenTransaction;
+    const bool needsPrimary = !readOnly;
+    const core::Duration hold = std::min<core::Duration>(
+        std::chrono::duration_cast<core::Duration>(context.route.latencyObjective * HoldPart),
+        context.route.statementTimeout);
+    const core::TimePoint holdUntil = context.startedAt + hold;
+    StatementOutcome outcome;
+    outcome.result = {.outcome = UnitOutcome::NotRun, .error = UnitError::QueueFull, .errorText = "no server"};
+    for (int attempt = 1;; ++attempt) {
+        const core::TimePoint now = core::Clock::now();
+        if (now >= holdUntil) {
+            break;
+        }
+        std::optional<ReadPlan> plan;
+        if (needsPrimary) {
+            const BackendServer *const primary = this->view->primary(context.route.service);
+            plan = primary == nullptr ? std::nullopt : std::optional(ReadPlan{.server = primary, .atPrimary = true});
+        } else {
+            plan = this->planRead(context, now);
+        }
+        if (!plan) {
+            asio::steady_timer pause(this->executor, RetryPause);
+            co_await pause.async_wait(UseTuple);
+            continue;
+        }
+        WorkUnit next = unit;
+        next.server = plan->server->id;
+        next.workspace = context.workspace;
+        next.values = *context.values;
+        next.minimumPosition = plan->minimum;
+        next.priority = context.route.priority;
+        next.queueLimit = std::max(milliseconds(holdUntil - now), std::chrono::milliseconds(1));
+        next.statementLimit = context.route.statementTimeout;
+        next.idleLimit = context.transactionIdle;
+        if (opensTransaction) {
+            next.kind = readOnly && !plan->atPrimary ? UnitKind::OpenReadOnly : UnitKind::OpenTransaction;
+        } else if (readOnly) {
+            next.kind = plan->atPrimary ? UnitKind::PrimaryRead : UnitKind::ReplicaRead;
+        }
+        const std::string server = next.server;
+        outcome.result = co_await this->router.run(std::move(next), outcome.place);
+        this->recordProof(context.route.service, outcome.result);
+        this->logAttempt(context, unit, outcome.place, outcome.result, attempt);
+        if (isFinal(outcome.result, !readOnly)) {
+            break;
+        }
+        core::Duration pauseTime = RetryPause;
+        switch (outcome.result.error) {
+        case UnitError::Behind:
+            this->penalise(server, BehindPenalty);
+            pauseTime = core::Duration::zero();
+            break;
+        case UnitError::QueueFull:
+        case UnitError::ServerBusy:
+            this->penalise(server, QueuePenalty);
+            break;
+        case UnitError::NoAnswer:
+        case UnitError::ConnectionLost:
+        case UnitError::Unreachable:
+            this->penalise(server, LostPenalty);
+            break;
+        default:
+            break;
+        }
+        if (pauseTime > core::Duration::zero()) {
+            asio::steady_timer pause(this->executor, pauseTime);
+            co_await pause.async_wait(UseTuple);
+        }
+    }
+    co_return outcome;
+}
+
+net::awaitable<StatementOutcome> OperationRunner::continueTransaction(UnitPlace place, WorkUnit unit)
+{
+    StatementOutcome outcome{.place = place};
+    outcome.result = co_await this->router.runAt(std::move(unit), std::move(place));
+    co_return outcome;
+}
+
+void OperationRunner::recordProof(const std::string &service, const UnitResult &result)
+{
+    if (result.provenPosition) {
+        this->services[service].proofs.record(
+            *result.provenPosition,
+            core::BootClock::now() - std::chrono::duration_cast<core::BootClock::duration>(result.proofAge));
+    }
+}
+
+net::awaitable<bool> OperationRunner::prove(std::string service, std::string workspace, core::Milliseconds limit)
+{
+    const BackendServer *const primary = this->view->primary(service);
+    if (primary == nullptr) {
+        co_return false;
+    }
+    WorkUnit unit{.kind = UnitKind::Prove,
+                  .server = primary->id,
+                  .workspace = std::move(workspace),
+                  .queueLimit = limit,
+                  .statementLimit = limit};
+    UnitPlace place;
+    const UnitResult result = co_await this->router.run(std::move(unit), place);
+    this->recordProof(service, result);
+    co_return result.outcome == UnitOutcome::Done;
+}
+
+void OperationRunner::tick(core::TimePoint now)
+{
+    for (auto &[service, state] : this->services) {
+        if (state.proving || now >= state.readUntil) {
+            continue;
+        }
+        const std::optional<core::Duration> age = state.proofs.age(core::BootClock::now());
+        if (age && *age < state.proofAge / ProofRenewalPart) {
+            continue;
+        }
+        state.proving = true;
+        const auto renew = [this, service = service, workspace = state.workspace]() -> net::awaitable<void> {
+            co_await this->prove(service, workspace, ProofLimit);
+            this->services[service].proving = false;
+        };
+        asio::co_spawn(this->executor, renew, asio::detached);
+    }
+}
+
+void OperationRunner::logAttempt(const OperationContext &context,
+                                 const WorkUnit &unit,
+                                 const UnitPlace &place,
+                                 const UnitResult &result,
+                                 int attempt) const
+{
+    if (this->log == nullptr || (result.outcome == UnitOutcome::Done && attempt == 1)) {
+        return;
+    }
+    this->log->line("statement_attempt", telemetry::LogLevel::Info)
+        .field("request", unit.id)
+        .field("database", context.database)
+        .field("workspace", context.workspace)
+        .field("attempt", attempt)
+        .field("server", place.server)
+        .field("home", place.daemon)
+        .field("outcome", static_cast<int>(result.outcome))
+        .field("error", static_cast<int>(result.error))
+        .field("detail", result.errorText)
+        .field("elapsed_ms", core::toMilliseconds(core::Clock::now() - context.startedAt));
+}
+
+}
--- /dev/null
+++ b/gateway/pooledserver.cpp
@@ -0,0 +1,657 @@
+#include "gateway/pooledserver.h"
+
+#include "core/error.h"
+#include "core/hashing.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace endiveshore::gateway {
+
+namespace asio = boost::asio;
+using pooling::UnitError;
+using pooling::UnitKind;
+using pooling::UnitNeed;
+using pooling::UnitOutcome;
+
+namespace {
+
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+
+/// Opening takes one or two round trips and the server's handshake of up to 30 ms, behind its queue.
+constexpr std::chrono::milliseconds OpenTimeout{700};
+/// Commands that occupy no slot are answered within a round trip.
+constexpr std::chrono::milliseconds ControlTimeout{450};
+/// Units beyond the server's slots that are sent, so that a slot never waits for a round trip.
+constexpr unsigned SendAhead = 1;
+/// After a failure to connect, units are refused for this long instead of waiting for another attempt each.
+constexpr std::chrono::milliseconds UnreachableHold{150};
+/// Idle connections are closed well before the server does, which would lose a write that is on its way.
+constexpr std::chrono::seconds IdleConnectionLife{20};
+constexpr std::size_t LeaseIdBytes = 8;
+
+pooling::UnitResult notRun(UnitError error, std::string text = {})
+{
+    return {.outcome = UnitOutcome::NotRun, .error = error, .errorText = std::move(text)};
+}
+
+bool isWriteOutcome(UnitKind kind)
+{
+    return kind == UnitKind::Write || kind == UnitKind::Commit;
+}
+
+/// Errors after which the server promises that the statement has not run.
+bool isNotRunError(UnitError error)
+{
+    switch (error) {
+    case UnitError::ServerBusy:
+    case UnitError::Behind:
+    case UnitError::NotPrimary:
+    case UnitError::WrongServer:
+    case UnitError::ConnectionLimit:
+    case UnitError::UnknownPrepared:
+        return true;
+    default:
+        return false;
+    }
+}
+
+pooling::UnitResult errorResult(const ServerReply &reply)
+{
+    return {.outcome = isNotRunError(reply.error) ? UnitOutcome::NotRun : UnitOutcome::ServerError,
+            .error = reply.error,
+            .errorText = reply.errorText,
+            .position = reply.position,
+            .transactionFailed = reply.state == ServerState::TransactionFailed};
+}
+
+queueing::Priority queuePriority(int routePriority)
+{
+    return routePriority <= 1 ? queueing::Priority::Write : queueing::Priority::Read;
+}
+
+}
+
+class PooledServer::Slot
+{
+public:
+    Slot(PooledServer &server, pooling::AdmissionQueue::Admitted unit)
+        : server(server.weak_from_this())
+        , unit(std::move(unit))
+        , start(core::Clock::now())
+    {
+    }
+
+    Slot(Slot &&other) noexcept
+        : server(std::exchange(other.server, {}))
+        , unit(other.unit)
+        , start(other.start)
+    {
+    }
+
+    Slot &operator=(Slot &&) = delete;
+
+    ~Slot()
+    {
+        if (const std::shared_ptr<PooledServer> owner = this->server.lock()) {
+            owner->finishSlot(this->unit, core::Clock::now() - this->start);
+        }
+    }
+
+private:
+    std::weak_ptr<PooledServer> server;
+    pooling::AdmissionQueue::Admitted unit;
+    core::TimePoint start;
+};
+
+PooledServer::PooledServer(PooledServerOptions options)
+    : options(std::move(options))
+    , book(this->options.connections)
+    , queue(this->options.server.slots)
+{
+}
+
+const BackendServer &PooledServer::server() const
+{
+    return this->options.server;
+}
+
+const PooledServerCounters &PooledServer::counters() const
+{
+    return this->counts;
+}
+
+std::size_t PooledServer::openConnections() const
+{
+    return this->book.open();
+}
+
+std::size_t PooledServer::queued() const
+{
+    return this->queue.size();
+}
+
+std::optional<core::TimePoint> PooledServer::lastAnswer() const
+{
+    return this->answeredAt;
+}
+
+void PooledServer::update(const BackendServer &server, unsigned connections)
+{
+    const bool restarted = server.startedAt != this->options.server.startedAt;
+    this->options.server = server;
+    this->options.connections = connections;
+    this->book.setLimit(connections);
+    this->queue.setSlots(server.slots);
+    if (restarted) {
+        this->unreachableUntil = {};
+        for (const auto &[id, connection] : std::exchange(this->idle, {})) {
+            this->book.remove(id);
+        }
+    }
+    this->dispatch();
+}
+
+net::awaitable<pooling::UnitResult> PooledServer::run(Unit unit)
+{
+    const std::shared_ptr<PooledServer> self = this->shared_from_this();
+    ++this->counts.units;
+    if (this->closed) {
+        co_return notRun(UnitError::Unreachable, "closed");
+    }
+    Result result;
+    switch (unit.kind) {
+    case UnitKind::InTransaction:
+        result = co_await this->runOnLease(std::move(unit));
+        break;
+    case UnitKind::Commit:
+    case UnitKind::Rollback:
+        result = co_await this->endTransaction(std::move(unit));
+        break;
+    case UnitKind::Prove:
+    case UnitKind::Status:
+        result = co_await this->runOwnCommand(std::move(unit));
+        break;
+    case UnitKind::OpenTransaction:
+    case UnitKind::OpenReadOnly:
+        result = co_await this->runAdmitted(std::move(unit), UnitNeed::SlotAndTransaction);
+        break;
+    case UnitKind::ReplicaRead:
+    case UnitKind::PrimaryRead:
+    case UnitKind::Write:
+        result = co_await this->runAdmitted(std::move(unit), UnitNeed::SlotAndConnection);
+        break;
+    }
+    this->attachProof(result);
+    co_return result;
+}
+
+net::awaitable<std::optional<PooledServer::Slot>> PooledServer::admit(const Unit &unit, UnitNeed need)
+{
+    const core::TimePoint now = core::Clock::now();
+    const core::TimePoint deadline = now + unit.queueLimit;
+    const pooling::TicketId id = ++this->lastTicket;
+    const auto ticket = std::make_shared<Ticket>(this->options.executor);
+    const queueing::QueueTicket request{
+        .workspace = unit.workspace, .priority = queuePriority(unit.priority), .deadline = deadline};
+    if (this->queue.push(id, need, request, now) != queueing::PushResult::Queued) {
+        ++this->counts.queueRefusals;
+        co_return std::nullopt;
+    }
+    this->tickets.emplace(id, ticket);
+    this->dispatch();
+    if (!ticket->admitted) {
+        // The deadline itself is kept by tick(); the timer only wakes the unit up.
+        ticket->timer.expires_at(core::TimePoint::max());
+        co_await ticket->timer.async_wait(UseTuple);
+    }
+    if (!ticket->admitted) {
+        ++this->counts.queueRefusals;
+        co_return std::nullopt;
+    }
+    co_return Slot(*this, *ticket->admitted);
+}
+
+void PooledServer::dispatch()
+{
+    const core::TimePoint now = core::Clock::now();
+    while (true) {
+        const pooling::FreeResources free{.slot = this->slotsUsed < this->options.server.slots + SendAhead,
+                                          .connection = this->book.hasFree(),
+                                          .transaction = this->book.hasFreeForTransaction()};
+        const std::optional<pooling::AdmissionQueue::Admitted> admitted = this->queue.next(free, now);
+        if (!admitted) {
+            return;
+        }
+        const auto ticket = this->tickets.find(admitted->ticket);
+        if (ticket == this->tickets.end()) {
+            this->queue.complete(*admitted, queueing::Cost::zero());
+            continue;
+        }
+        ++this->slotsUsed;
+        ticket->second->admitted = admitted;
+        ticket->second->timer.cancel();
+        this->tickets.erase(ticket);
+        // The unit takes its connection when it resumes; until then the free ones must not be counted again.
+        if (admitted->need != UnitNeed::Slot) {
+            return;
+        }
+    }
+}
+
+void PooledServer::finishSlot(const pooling::AdmissionQueue::Admitted &unit, core::Duration used)
+{
+    --this->slotsUsed;
+    this->queue.complete(unit, std::chrono::duration_cast<queueing::Cost>(used));
+    this->dispatch();
+}
+
+net::awaitable<pooling::UnitResult>
+PooledServer::obtainConnection(std::string workspace, bool transaction, std::shared_ptr<Connection> &out)
+{
+    const std::optional<pooling::ConnectionChoice> choice = this->book.take(workspace, transaction);
+    this->dispatch();
+    if (!choice) {
+        co_return notRun(UnitError::QueueFull, "no connection");
+    }
+    if (choice->evicted) {
+        this->idle.erase(*choice->evicted);
+    }
+    if (choice->kind == pooling::ConnectionChoice::Kind::Reuse) {
+        const auto found = this->idle.find(choice->connection);
+        std::shared_ptr<Connection> reused = found == this->idle.end() ? nullptr : found->second;
+        this->idle.erase(choice->connection);
+        if (reused != nullptr && reused->link->isOpen()) {
+            out = std::move(reused);
+            co_return Result{.outcome = UnitOutcome::Done};
+        }
+    }
+    auto opened = std::make_shared<Connection>();
+    opened->id = choice->connection;
+    opened->workspace = workspace;
+    opened->link = this->options.links(this->options.executor);
+    ServerReply reply;
+    std::string failure;
+    if (core::Clock::now() < this->unreachableUntil) {
+        failure = "recently unreachable";
+    } else {
+        LinkTarget target{.endpoint = this->options.server.endpoint,
+                          .service = this->options.server.service,
+                          .serverId = this->options.server.id,
+                          .workspace = std::move(workspace)};
+        try {
+            reply = co_await opened->link->open(std::move(target), OpenTimeout);
+        } catch (const core::Error &error) {
+            failure = error.message;
+            this->unreachableUntil = core::Clock::now() + UnreachableHold;
+        }
+    }
+    if (!failure.empty()) {
+        ++this->counts.openFailures;
+        this->book.remove(opened->id);
+        co_return notRun(UnitError::Unreachable, failure);
+    }
+    if (reply.isError) {
+        this->counts.connectionRefusals += reply.error == UnitError::ConnectionLimit ? 1 : 0;
+        this->book.remove(opened->id);
+        co_return notRun(reply.error == UnitError::Other ? UnitError::Unreachable : reply.error, reply.errorText);
+    }
+    ++this->counts.opened;
+    this->noteAnswer();
+    out = std::move(opened);
+    co_return Result{.outcome = UnitOutcome::Done};
+}
+
+net::awaitable<pooling::UnitResult> PooledServer::runAdmitted(Unit unit, UnitNeed need)
+{
+    std::optional<Slot> slot = co_await this->admit(unit, need);
+    if (!slot) {
+        co_return notRun(UnitError::QueueFull, "no slot in time");
+    }
+    const bool transaction = need == UnitNeed::SlotAndTransaction;
+    std::shared_ptr<Connection> connection;
+    Result result = co_await this->obtainConnection(unit.workspace, transaction, connection);
+    if (connection == nullptr) {
+        co_return result;
+    }
+    result = co_await this->prepareConnection(*connection, unit);
+    if (result.outcome == UnitOutcome::Done && unit.kind != UnitKind::ReplicaRead && unit.kind != UnitKind::Write) {
+        result = co_await this->beginTransaction(*connection, unit);
+    }
+    const bool begun = result.outcome == UnitOutcome::Done;
+    if (begun) {
+        result = co_await this->runStatement(*connection, unit, unit.kind == UnitKind::PrimaryRead);
+    }
+    if (transaction && begun && connection->link->isOpen() && !result.transactionFailed
+        && (result.outcome == UnitOutcome::Done || result.outcome == UnitOutcome::ServerError)) {
+        result.lease = core::randomHex(LeaseIdBytes);
+        this->leases.emplace(result.lease,
+                             Lease{.connection = connection, .idleUntil = core::Clock::now() + unit.idleLimit});
+        co_return result;
+    }
+    if (transaction && begun && connection->link->isOpen()) {
+        asio::co_spawn(this->options.executor, this->rollBack(connection), asio::detached);
+        co_return result;
+    }
+    this->keepOrDrop(connection, connection->link->isOpen());
+    co_return result;
+}
+
+net::awaitable<pooling::UnitResult> PooledServer::prepareConnection(Connection &connection, const Unit &unit)
+{
+    std::vector<ServerCommand> commands;
+    const auto isDropped = [&](const auto &entry) { return !unit.values.contains(entry.first); };
+    if (std::ranges::any_of(connection.values, isDropped)) {
+        commands.push_back({.kind = CommandKind::Reset});
+        connection.values.clear();
+        connection.prepared.clear();
+    }
+    for (const auto &[name, value] : unit.values) {
+        const auto present = connection.values.find(name);
+        if (present == connection.values.end() || present->second != value) {
+            commands.push_back({.kind = CommandKind::SetValue, .name = name, .value = value});
+        }
+    }
+    if (unit.prepared && !connection.prepared.contains(*unit.prepared)) {
+        std::string name = "p" + std::to_string(++this->lastPrepared);
+        commands.push_back({.kind = CommandKind::Prepare, .name = name, .shape = *unit.prepared});
+        connection.prepared.emplace(*unit.prepared, std::move(name));
+    }
+    if (commands.empty()) {
+        co_return Result{.outcome = UnitOutcome::Done};
+    }
+    connection.values = unit.values;
+    const std::size_t expected = commands.size();
+    const std::vector<ServerReply> replies = co_await connection.link->exchange(std::move(commands), ControlTimeout);
+    for (const ServerReply &reply : replies) {
+        if (reply.isError) {
+            // The connection is in a state that no session asked for.
+            connection.link->close();
+            co_return notRun(reply.error, reply.errorText);
+        }
+    }
+    if (replies.size() < expected) {
+        co_return notRun(UnitError::ConnectionLost, "while the connection was prepared");
+    }
+    co_return Result{.outcome = UnitOutcome::Done};
+}
+
+net::awaitable<pooling::UnitResult> PooledServer::beginTransaction(Connection &connection, const Unit &unit)
+{
+    const bool readOnly = unit.kind == UnitKind::OpenReadOnly;
+    std::vector<ServerCommand> commands;
+    commands.push_back({.kind = readOnly ? CommandKind::BeginReadOnly : CommandKind::Begin,
+                        .minimumPosition = readOnly ? unit.minimumPosition : session::LogPosition()});
+    const core::BootTime sentAt = core::BootClock::now();
+    const std::vector<ServerReply> replies = co_await connection.link->exchange(std::move(commands), ControlTimeout);
+    if (replies.empty()) {
+        co_return notRun(UnitError::ConnectionLost, "while the transaction began");
+    }
+    this->noteAnswer();
+    const ServerReply &reply = replies.front();
+    if (reply.isError) {
+        if (reply.state != ServerState::Idle) {
+            connection.link->close();
+        }
+        Result result = errorResult(reply);
+        result.outcome = UnitOutcome::NotRun;
+        result.transactionFailed = false;
+        co_return result;
+    }
+    if (!readOnly) {
+        this->recordProof(reply.position, sentAt);
+    }
+    co_return Result{.outcome = UnitOutcome::Done, .position = reply.position};
+}
+
+ServerCommand PooledServer::statementCommand(const Connection &connection, const Unit &unit) const
+{
+    ServerCommand command{.kind = CommandKind::CallerStatement, .id = unit.id, .text = unit.text};
+    if (unit.prepared) {
+        command.kind = CommandKind::CallerExecute;
+        command.name = connection.prepared.at(*unit.prepared);
+    }
+    if (unit.kind == UnitKind::ReplicaRead) {
+        command.minimumPosition = unit.minimumPosition;
+    }
+    return command;
+}
+
+net::awaitable<pooling::UnitResult>
+PooledServer::runStatement(Connection &connection, const Unit &unit, bool endWithRollback)
+{
+    std::vector<ServerCommand> commands;
+    commands.push_back(this->statementCommand(connection, unit));
+    if (endWithRollback) {
+        commands.push_back({.kind = CommandKind::Rollback});
+    }
+    const core::TimePoint sentAt = core::Clock::now();
+    std::vector<ServerReply> replies = co_await connection.link->exchange(std::move(commands), unit.statementLimit);
+    if (replies.empty()) {
+        const bool timedOut = core::Clock::now() - sentAt >= unit.statementLimit;
+        const UnitError error = timedOut ? UnitError::NoAnswer : UnitError::ConnectionLost;
+        co_return Result{.outcome = isWriteOutcome(unit.kind) ? UnitOutcome::Unknown : UnitOutcome::NotRun,
+                         .error = error,
+                         .errorText = timedOut ? "no answer" : "connection lost"};
+    }
+    this->noteAnswer();
+    ServerReply &reply = replies.front();
+    if (reply.isError) {
+        if (reply.error == UnitError::UnknownPrepared && unit.prepared) {
+            connection.prepared.erase(*unit.prepared);
+        }
+        co_return errorResult(reply);
+    }
+    co_return Result{.outcome = UnitOutcome::Done,
+                     .rows = std::move(reply.rows),
+                     .signature = std::move(reply.signature),
+                     .position = reply.position,
+                     .transactionFailed = reply.state == ServerState::TransactionFailed};
+}
+
+net::awaitable<pooling::UnitResult> PooledServer::runOnLease(Unit unit)
+{
+    const auto found = this->leases.find(unit.lease);
+    if (found == this->leases.end() || found->second.busy) {
+        co_return notRun(UnitError::UnknownLease);
+    }
+    found->second.busy = true;
+    const std::shared_ptr<Connection> connection = found->second.connection;
+    Result result;
+    {
+        const std::optional<Slot> slot = co_await this->admit(unit, UnitNeed::Slot);
+        if (slot) {
+            result = co_await this->prepareConnection(*connection, unit);
+            if (result.outcome == UnitOutcome::Done) {
+                result = co_await this->runStatement(*connection, unit, false);
+            }
+        } else {
+            result = notRun(UnitError::QueueFull, "no slot in time");
+        }
+    }
+    const auto lease = this->leases.find(unit.lease);
+    if (lease == this->leases.end()) {
+        co_return result;
+    }
+    const bool ended = result.transactionFailed || !connection->link->isOpen();
+    if (!ended) {
+        lease->second.busy = false;
+        lease->second.idleUntil = core::Clock::now() + unit.idleLimit;
+        co_return result;
+    }
+    result.transactionFailed = true;
+    this->leases.erase(lease);
+    asio::co_spawn(this->options.executor, this->rollBack(connection), asio::detached);
+    co_return result;
+}
+
+net::awaitable<pooling::UnitResult> PooledServer::endTransaction(Unit unit)
+{
+    const auto found = this->leases.find(unit.lease);
+    if (found == this->leases.end() || found->second.busy) {
+        co_return notRun(UnitError::UnknownLease);
+    }
+    const std::shared_ptr<Connection> connection = found->second.connection;
+    this->leases.erase(found);
+    if (unit.kind == UnitKind::Rollback) {
+        co_await this->rollBack(connection);
+        co_return Result{.outcome = UnitOutcome::Done};
+    }
+    Result result;
+    {
+        const std::optional<Slot> slot = co_await this->admit(unit, UnitNeed::Slot);
+        result = notRun(UnitError::QueueFull, "no slot in time");
+        if (slot) {
+            result = co_await this->runStatement(*connection, unit, false);
+        }
+    }
+    if (result.outcome == UnitOutcome::Done) {
+        this->keepOrDrop(connection, connection->link->isOpen());
+        co_return result;
+    }
+    co_await this->rollBack(connection);
+    co_return result;
+}
+
+net::awaitable<void> PooledServer::rollBack(std::shared_ptr<Connection> connection)
+{
+    const std::shared_ptr<PooledServer> self = this->shared_from_this();
+    bool clean = false;
+    if (connection->link->isOpen()) {
+        std::vector<ServerCommand> commands;
+        commands.push_back({.kind = CommandKind::Rollback});
+        const std::vector<ServerReply> replies
+            = co_await connection->link->exchange(std::move(commands), ControlTimeout);
+        clean = !replies.empty() && replies.front().state == ServerState::Idle;
+    }
+    this->keepOrDrop(connection, clean);
+}
+
+net::awaitable<pooling::UnitResult> PooledServer::runOwnCommand(Unit unit)
+{
+    // Any idle connection serves: the commands are the proxy's own and occupy no slot.
+    std::shared_ptr<Connection> connection;
+    std::optional<Slot> slot;
+    if (!this->idle.empty() && this->book.hasFree()) {
+        const std::string workspace = this->idle.rbegin()->second->workspace;
+        Result obtained = co_await this->obtainConnection(workspace, false, connection);
+        if (connection == nullptr) {
+            co_return obtained;
+        }
+    } else {
+        std::optional<Slot> admitted = co_await this->admit(unit, UnitNeed::SlotAndConnection);
+        if (!admitted) {
+            co_return notRun(UnitError::QueueFull, "no slot in time");
+        }
+        slot.emplace(std::move(*admitted));
+        Result obtained = co_await this->obtainConnection(unit.workspace, false, connection);
+        if (connection == nullptr) {
+            co_return obtained;
+        }
+    }
+    if (unit.kind == UnitKind::Status) {
+        Result status = co_await this->askStatus(*connection);
+        this->keepOrDrop(connection, connection->link->isOpen());
+        co_return status;
+    }
+    Result result = co_await this->beginTransaction(*connection, unit);
+    if (result.outcome != UnitOutcome::Done) {
+        this->keepOrDrop(connection, connection->link->isOpen());
+        co_return result;
+    }
+    asio::co_spawn(this->options.executor, this->rollBack(connection), asio::detached);
+    co_return result;
+}
+
+net::awaitable<pooling::UnitResult> PooledServer::askStatus(Connection &connection)
+{
+    std::vector<ServerCommand> commands;
+    commands.push_back({.kind = CommandKind::Status});
+    std::vector<ServerReply> replies = co_await connection.link->exchange(std::move(commands), ControlTimeout);
+    if (replies.empty()) {
+        co_return notRun(UnitError::ConnectionLost, "while its status was asked");
+    }
+    this->noteAnswer();
+    if (replies.front().isError) {
+        co_return errorResult(replies.front());
+    }
+    co_return Result{.outcome = UnitOutcome::Done, .rows = std::move(replies.front().rows)};
+}
+
+void PooledServer::keepOrDrop(const std::shared_ptr<Connection> &connection, bool reusable)
+{
+    const bool keep = reusable && !this->closed && this->book.open() <= this->options.connections
+        && connection->link->isOpen();
+    if (keep) {
+        this->book.release(connection->id, core::Clock::now());
+        this->idle.emplace(connection->id, connection);
+    } else {
+        connection->link->close();
+        this->book.remove(connection->id);
+    }
+    this->dispatch();
+}
+
+void PooledServer::tick(core::TimePoint now)
+{
+    for (const pooling::TicketId id : this->queue.takeExpired(now)) {
+        const auto ticket = this->tickets.find(id);
+        if (ticket != this->tickets.end()) {
+            ticket->second->timer.cancel();
+            this->tickets.erase(ticket);
+        }
+    }
+    for (auto lease = this->leases.begin(); lease != this->leases.end();) {
+        if (lease->second.busy || now < lease->second.idleUntil) {
+            ++lease;
+            continue;
+        }
+        asio::co_spawn(this->options.executor, this->rollBack(lease->second.connection), asio::detached);
+        lease = this->leases.erase(lease);
+    }
+    while (const std::optional<pooling::ConnectionId> old = this->book.idleSince(now - IdleConnectionLife)) {
+        this->idle.erase(*old);
+        this->book.remove(*old);
+    }
+    this->dispatch();
+}
+
+void PooledServer::close()
+{
+    this->closed = true;
+    for (const auto &[id, ticket] : std::exchange(this->tickets, {})) {
+        ticket->timer.cancel();
+    }
+    for (const auto &[id, lease] : std::exchange(this->leases, {})) {
+        lease.connection->link->close();
+        this->book.remove(lease.connection->id);
+    }
+    for (const auto &[id, connection] : std::exchange(this->idle, {})) {
+        this->book.remove(id);
+    }
+}
+
+void PooledServer::noteAnswer()
+{
+    this->answeredAt = core::Clock::now();
+    this->unreachableUntil = {};
+}
+
+void PooledServer::recordProof(session::LogPosition position, core::BootTime takenAt)
+{
+    if (position.term != 0 && (!this->latestProof || this->latestProof->second < takenAt)) {
+        this->latestProof.emplace(position, takenAt);
+    }
+}
+
+void PooledServer::attachProof(Result &result) const
+{
+    if (this->latestProof) {
+        result.provenPosition = this->latestProof->first;
+        result.proofAge = core::BootClock::now() - this->latestProof->second;
+    }
+}
+
+}
--- /dev/null
+++ b/gateway/promotionduty.cpp
@@ -0,0 +1,272 @@
+#include "gateway/promotionduty.h"
+
+#include "core/error.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace endiveshore::gateway {
+
+namespace asio = boost::asio;
+using pooling::UnitError;
+using pooling::UnitKind;
+using pooling::UnitOutcome;
+using pooling::UnitResult;
+
+namespace {
+
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+
+constexpr std::chrono::milliseconds ProbeInterval{250};
+/// After a failed probe the next one follows sooner, since callers wait.
+constexpr std::chrono::milliseconds SuspectInterval{60};
+constexpr std::chrono::milliseconds ProbeLimit{500};
+constexpr std::chrono::milliseconds OrderTimeout{800};
+/// An unanswered order is repeated with the same fence this many times.
+constexpr int OrderAttempts = 3;
+/// A promotion takes effect some hundred ms after its order; a server that does not lead by then is given up.
+constexpr std::chrono::milliseconds PromotionWait{3'000};
+constexpr std::chrono::milliseconds PromotionPoll{80};
+constexpr std::chrono::milliseconds ServiceScan{200};
+/// A service without a primary gets one after this time; before it the primary may still be reporting itself.
+constexpr std::chrono::milliseconds MissingPrimaryPatience{1'000};
+
+bool isAnswer(const UnitResult &result)
+{
+    switch (result.error) {
+    case UnitError::Unreachable:
+    case UnitError::ConnectionLost:
+    case UnitError::NoAnswer:
+    case UnitError::WrongServer:
+        return false;
+    default:
+        return true;
+    }
+}
+
+}
+
+PromotionDuty::PromotionDuty(net::Executor executor,
+                             std::string daemonId,
+                             std::shared_ptr<PromotionService> orders,
+                             PromotionDutySurroundings surroundings,
+                             telemetry::DecisionLog &log)
+    : executor(std::move(executor))
+    , daemonId(std::move(daemonId))
+    , orders(std::move(orders))
+    , surroundings(std::move(surroundings))
+    , log(log)
+{
+}
+
+void PromotionDuty::start(std::uint64_t electionRevision)
+{
+    this->active = true;
+    this->fences.emplace(electionRevision);
+    ++this->dutyTerm;
+    asio::co_spawn(this->executor, this->watchServices(this->dutyTerm), asio::detached);
+}
+
+void PromotionDuty::stop()
+{
+    this->active = false;
+    ++this->dutyTerm;
+}
+
+bool PromotionDuty::isCurrent(std::uint64_t term) const
+{
+    return this->active && term == this->dutyTerm;
+}
+
+net::awaitable<void> PromotionDuty::pause(core::Duration time)
+{
+    asio::steady_timer timer(this->executor, time);
+    co_await timer.async_wait(UseTuple);
+}
+
+net::awaitable<void> PromotionDuty::watchServices(std::uint64_t term)
+{
+    const std::shared_ptr<PromotionDuty> self = this->shared_from_this();
+    while (this->isCurrent(term)) {
+        const std::shared_ptr<const GatewayView> view = this->surroundings.view();
+        for (const auto &[id, server] : view->servers) {
+            std::uint64_t &watchedIn = this->watched[server.service];
+            if (watchedIn != term) {
+                watchedIn = term;
+                asio::co_spawn(this->executor, this->watchService(server.service, term), asio::detached);
+            }
+        }
+        co_await this->pause(ServiceScan);
+    }
+}
+
+net::awaitable<UnitResult> PromotionDuty::ask(UnitKind kind, std::string server)
+{
+    pooling::WorkUnit unit{.kind = kind,
+                           .server = std::move(server),
+                           .workspace = this->daemonId,
+                           .queueLimit = ProbeLimit,
+                           .statementLimit = ProbeLimit};
+    co_return co_await this->surroundings.ask(std::move(unit));
+}
+
+net::awaitable<void> PromotionDuty::watchService(std::string service, std::uint64_t term)
+{
+    const std::shared_ptr<PromotionDuty> self = this->shared_from_this();
+    failover::PrimarySuspicion suspicion;
+    std::string watchedServer;
+    std::optional<core::TimePoint> missingSince;
+    while (this->isCurrent(term)) {
+        const std::shared_ptr<const GatewayView> view = this->surroundings.view();
+        const BackendServer *const primary = view->primary(service);
+        const core::TimePoint now = core::Clock::now();
+        if (primary == nullptr) {
+            missingSince = missingSince.value_or(now);
+            if (now >= *missingSince + MissingPrimaryPatience && this->surroundings.mayAct()) {
+                co_await this->replacePrimary(service, std::string(), "no primary known", term);
+                missingSince.reset();
+            }
+            co_await this->pause(ProbeInterval);
+            continue;
+        }
+        missingSince.reset();
+        if (primary->id != watchedServer) {
+            watchedServer = primary->id;
+            suspicion.reset();
+        }
+        if (primary->isLeaving && this->surroundings.mayAct()) {
+            co_await this->replacePrimary(service, watchedServer, "leaving", term);
+            co_await this->pause(ProbeInterval);
+            continue;
+        }
+        const UnitResult result = co_await this->ask(UnitKind::Prove, watchedServer);
+        const bool answered = isAnswer(result);
+        if (result.error == UnitError::NotPrimary) {
+            this->surroundings.onDenied(service, watchedServer);
+        }
+        suspicion.record(answered, core::Clock::now());
+        if (!answered) {
+            this->log.line("primary_suspected", telemetry::LogLevel::Warning)
+                .field("service", service)
+                .field("server", watchedServer)
+                .field("reason", result.errorText);
+        }
+        if (suspicion.isDead() && this->isCurrent(term) && this->surroundings.mayAct()) {
+            co_await this->replacePrimary(service, watchedServer, "no answer", term);
+            suspicion.reset();
+        }
+        co_await this->pause(answered ? ProbeInterval : SuspectInterval);
+    }
+}
+
+net::awaitable<std::vector<failover::PromotionCandidate>> PromotionDuty::askCandidates(std::string service,
+                                                                                       std::string former)
+{
+    struct Round
+    {
+        explicit Round(const net::Executor &executor)
+            : done(executor, core::TimePoint::max())
+        {
+        }
+        asio::steady_timer done;
+        std::size_t open = 0;
+        std::vector<failover::PromotionCandidate> candidates;
+    };
+    const auto round = std::make_shared<Round>(this->executor);
+    const std::shared_ptr<PromotionDuty> self = this->shared_from_this();
+    const std::shared_ptr<const GatewayView> view = this->surroundings.view();
+    for (const auto &[id, server] : view->servers) {
+        if (server.service != service || id == former) {
+            continue;
+        }
+        ++round->open;
+        const auto askOne = [self, round, server = server]() -> net::awaitable<void> {
+            const UnitResult result = co_await self->ask(UnitKind::Status, server.id);
+            ServerReply reply{.rows = result.rows};
+            const std::optional<ServerStatus> status = self->surroundings.readStatus(reply);
+            if (result.outcome == UnitOutcome::Done && status) {
+                round->candidates.push_back({.server = server.id,
+                                             .isPrimary = status->isPrimary,
+                                             .isLeaving = server.isLeaving,
+                                             .term = status->term,
+                                             .received = status->received});
+            }
+            if (--round->open == 0) {
+                round->done.cancel();
+            }
+        };
+        asio::co_spawn(this->executor, askOne, asio::detached);
+    }
+    if (round->open > 0) {
+        co_await round->done.async_wait(UseTuple);
+    }
+    co_return round->candidates;
+}
+
+net::awaitable<void>
+PromotionDuty::replacePrimary(std::string service, std::string former, std::string reason, std::uint64_t term)
+{
+    const std::vector<failover::PromotionCandidate> candidates = co_await this->askCandidates(service, former);
+    if (!this->isCurrent(term) || !this->surroundings.mayAct()) {
+        co_return;
+    }
+    const failover::PromotionCandidate *const leading = failover::leadingCandidate(candidates);
+    if (leading != nullptr) {
+        // Somebody else has promoted it; the news has not arrived yet.
+        this->log.line("primary_found").field("service", service).field("server", leading->server);
+        this->surroundings.onPromoted(service, leading->server, this->fences->next());
+        co_return;
+    }
+    const failover::PromotionCandidate *const chosen = failover::choosePromotion(candidates);
+    if (chosen == nullptr || (reason == "leaving" && chosen->isLeaving)) {
+        this->log.line("promotion_impossible", telemetry::LogLevel::Warning)
+            .field("service", service)
+            .field("former", former)
+            .field("reason", reason)
+            .field("candidates", candidates.size());
+        co_return;
+    }
+    const std::string server = chosen->server;
+    const std::uint64_t fence = this->fences->next();
+    this->log.line("promotion_ordered", telemetry::LogLevel::Warning)
+        .field("service", service)
+        .field("server", server)
+        .field("former", former)
+        .field("reason", reason)
+        .field("received_term", chosen->received.term)
+        .field("received_position", chosen->received.position)
+        .field("candidates", candidates.size())
+        .field("fence", fence);
+    PromotionAnswer answer = PromotionAnswer::Busy;
+    for (int attempt = 0; attempt < OrderAttempts && this->isCurrent(term); ++attempt) {
+        PromotionOrder order{.service = service, .server = server, .holder = this->daemonId, .fence = fence};
+        answer = co_await this->orders->promote(std::move(order), OrderTimeout);
+        if (answer == PromotionAnswer::Accepted || answer == PromotionAnswer::Refused) {
+            break;
+        }
+        co_await this->pause(SuspectInterval);
+    }
+    this->log.line("promotion_answered")
+        .field("service", service)
+        .field("server", server)
+        .field("fence", fence)
+        .field("answer", static_cast<int>(answer));
+    if (answer == PromotionAnswer::Refused) {
+        this->surroundings.onFenced();
+        co_return;
+    }
+    const core::TimePoint giveUp = core::Clock::now() + PromotionWait;
+    while (core::Clock::now() < giveUp && this->isCurrent(term)) {
+        const UnitResult result = co_await this->ask(UnitKind::Prove, server);
+        if (result.outcome == UnitOutcome::Done) {
+            this->surroundings.onPromoted(service, server, fence);
+            co_return;
+        }
+        co_await this->pause(PromotionPoll);
+    }
+}
+
+}
--- /dev/null
+++ b/gateway/promotionduty.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "failover/primarytracker.h"
+#include "failover/promotionchoice.h"
+#include "gateway/gatewayview.h"
+#include "gateway/metadatastore.h"
+#include "gateway/serverlink.h"
+#include "telemetry/decisionlog.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace endiveshore::gateway {
+
+/// What the holder of the promotion duty needs from its surroundings. All functions are called on the control thread.
+struct PromotionDutySurroundings
+{
+    /// Asks a server through several daemons; see WorkRouter::ask().
+    std::function<net::awaitable<pooling::UnitResult>(pooling::WorkUnit unit)> ask;
+    std::function<std::shared_ptr<const GatewayView>()> view;
+    /// Whether orders may be given now.
+    std::function<bool()> mayAct;
+    /// A server has become the primary of a service.
+    std::function<void(std::string service, std::string server, std::uint64_t fence)> onPromoted;
+    /// The server says that it does not lead.
+    std::function<void(std::string service, std::string server)> onDenied;
+    /// Another holder has used a higher fence.
+    std::function<void()> onFenced;
+    StatusReader readStatus;
+};
+
+/// Watches the primaries of all services while this daemon holds the duty, and orders promotions. Runs on the control
+/// thread.
+class PromotionDuty : public std::enable_shared_from_this<PromotionDuty>
+{
+public:
+    PromotionDuty(net::Executor executor,
+                  std::string daemonId,
+                  std::shared_ptr<PromotionService> orders,
+                  PromotionDutySurroundings surroundings,
+                  telemetry::DecisionLog &log);
+
+    /// This daemon has become the holder.
+    void start(std::uint64_t electionRevision);
+
+    /// This daemon is not the holder any more.
+    void stop();
+
+private:
+    /// One service under watch; ends when the duty does.
+    net::awaitable<void> watchService(std::string service, std::uint64_t term);
+    net::awaitable<void> watchServices(std::uint64_t term);
+    net::awaitable<void> replacePrimary(std::string service, std::string former, std::string reason, std::uint64_t term);
+    net::awaitable<std::vector<failover::PromotionCandidate>> askCandidates(std::string service, std::string former);
+    net::awaitable<pooling::UnitResult> ask(pooling::UnitKind kind, std::string server);
+    net::awaitable<void> pause(core::Duration time);
+    bool isCurrent(std::uint64_t term) const;
+
+    net::Executor executor;
+    std::string daemonId;
+    std::shared_ptr<PromotionService> orders;
+    PromotionDutySurroundings surroundings;
+    telemetry::DecisionLog &log;
+    std::uint64_t dutyTerm = 0; ///< Rises with each start and stop; coroutines of an earlier term end.
+    bool active = false;
+    std::optional<failover::FenceCounter> fences;
+    std::map<std::string, std::uint64_t, std::less<>> watched; ///< Services under watch, by duty term.
+};
+
+}
--- /dev/null
+++ b/gateway/trafficcore.cpp
@@ -0,0 +1,202 @@
+#include "gateway/trafficcore.h"
+
+#include "core/error.h"
+#include "core/json.h"
+#include "gateway/workmessage.h"
+#include "net/tcplistener.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace endiveshore::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::chrono::milliseconds TickInterval{25};
+constexpr int StatusOk = 200;
+
+WorkRouterOptions routerOptions(const TrafficCoreOptions &options, const net::Executor &executor)
+{
+    return {.executor = executor, .deployment = options.deployment, .links = options.links, .log = options.log};
+}
+
+}
+
+TrafficCore::TrafficCore(TrafficCoreOptions options)
+    : options(std::move(options))
+    , guard(asio::make_work_guard(this->context))
+    , router(routerOptions(this->options, this->context.get_executor()))
+    , runner(this->context.get_executor(), this->router, this->options.log)
+    , sessionContext(std::make_shared<SessionContext>())
+{
+    this->sessionContext->executor = this->context.get_executor();
+    this->sessionContext->protocol = this->options.protocol;
+    this->sessionContext->runner = &this->runner;
+    this->sessionContext->rates = &this->rates;
+    this->sessionContext->view = this->view;
+    this->sessionContext->log = this->options.log;
+    this->sessionContext->metrics = this->options.metrics;
+}
+
+TrafficCore::~TrafficCore()
+{
+    this->stop();
+}
+
+void TrafficCore::start()
+{
+    this->acceptor.emplace(
+        net::openAcceptor(this->context.get_executor(), this->options.deployment.callerListen, false));
+    this->peerServer = std::make_shared<net::PeerServer>(
+        [this](net::HttpRequest request) { return this->servePeer(std::move(request)); });
+    this->peerServer->listen(this->context.get_executor(), this->options.deployment.peerListen);
+    asio::co_spawn(this->context, this->acceptLoop(), asio::detached);
+    asio::co_spawn(this->context, this->tickLoop(), asio::detached);
+    this->thread = std::thread([this] { this->context.run(); });
+}
+
+void TrafficCore::stop()
+{
+    if (!this->thread.joinable()) {
+        return;
+    }
+    asio::post(this->context, [this] {
+        boost::system::error_code ignored;
+        this->acceptor->close(ignored);
+        this->peerServer->stop();
+        for (const std::shared_ptr<CallerSession> &session : this->sessions) {
+            session->close();
+        }
+        this->router.close();
+        this->context.stop();
+    });
+    this->thread.join();
+}
+
+net::awaitable<void> TrafficCore::acceptLoop()
+{
+    while (true) {
+        std::optional<asio::ip::tcp::socket> socket = co_await net::acceptNext(*this->acceptor);
+        if (!socket) {
+            co_return;
+        }
+        const auto session = std::make_shared<CallerSession>(std::move(*socket), this->sessionContext);
+        this->sessions.insert(session);
+        asio::co_spawn(this->context, session->serve(), [this, session](const std::exception_ptr &failure) {
+            this->sessions.erase(session);
+            if (failure) {
+                session->close();
+                this->options.log->line("session_failed", telemetry::LogLevel::Error);
+            }
+        });
+    }
+}
+
+net::awaitable<void> TrafficCore::tickLoop()
+{
+    asio::steady_timer timer(this->context);
+    while (true) {
+        timer.expires_after(TickInterval);
+        auto [error] = co_await timer.async_wait(UseTuple);
+        if (error) {
+            co_return;
+        }
+        const core::TimePoint now = core::Clock::now();
+        this->router.tick(now);
+        this->runner.tick(now);
+    }
+}
+
+net::awaitable<net::HttpResponse> TrafficCore::servePeer(net::HttpRequest request)
+{
+    if (request.target == ConfigurationPath) {
+        const std::shared_ptr<const Configuration> known = this->view->configuration;
+        co_return net::HttpResponse{.status = StatusOk, .body = known == nullptr ? std::string() : known->text};
+    }
+    if (request.target != WorkPath) {
+        co_return net::errorResponse(core::ResultCode::UnknownPath, core::Outcome::NotRun, request.target);
+    }
+    pooling::WorkUnit unit = core::valueOrThrow([&request]() -> boost::leaf::result<pooling::WorkUnit> {
+        BOOST_LEAF_AUTO(body, core::parseJsonObject(request.body));
+        return workUnitFromJson(body);
+    });
+    const pooling::UnitResult result = co_await this->router.runForPeer(std::move(unit));
+    co_return net::jsonResponse(StatusOk, toJson(result));
+}
+
+void TrafficCore::publish(std::shared_ptr<const GatewayView> newView)
+{
+    asio::post(this->context, [this, newView = std::move(newView)] {
+        const bool changedRates = this->view->configuration != newView->configuration;
+        this->view = newView;
+        this->sessionContext->view = newView;
+        this->router.setView(newView);
+        this->runner.setView(newView);
+        if (changedRates) {
+            this->updateRates();
+        }
+    });
+}
+
+void TrafficCore::publishShares(std::shared_ptr<const RateShares> newShares)
+{
+    asio::post(this->context, [this, newShares = std::move(newShares)] {
+        this->shares = newShares;
+        this->updateRates();
+    });
+}
+
+void TrafficCore::updateRates()
+{
+    if (this->view->configuration != nullptr) {
+        this->rates.update(*this->view->configuration, *this->shares, core::Clock::now());
+    }
+}
+
+net::awaitable<pooling::UnitResult> TrafficCore::ask(pooling::WorkUnit unit)
+{
+    co_return co_await asio::co_spawn(this->context, this->router.ask(std::move(unit)), asio::use_awaitable);
+}
+
+net::awaitable<std::map<std::string, std::uint64_t, std::less<>>> TrafficCore::takeDemand()
+{
+    const auto take = [this]() -> net::awaitable<std::map<std::string, std::uint64_t, std::less<>>> {
+        co_return this->rates.takeDemand();
+    };
+    co_return co_await asio::co_spawn(this->context, take, asio::use_awaitable);
+}
+
+void TrafficCore::closeIdleSessions(unsigned parts)
+{
+    asio::post(this->context, [this, parts] {
+        const std::vector<std::shared_ptr<CallerSession>> open(this->sessions.begin(), this->sessions.end());
+        const std::size_t count = (open.size() + parts - 1) / parts;
+        for (std::size_t index = 0; index < count; ++index) {
+            open[index]->closeWhenIdle();
+        }
+    });
+}
+
+void TrafficCore::abortTransactions()
+{
+    asio::post(this->context, [this] {
+        const std::vector<std::shared_ptr<CallerSession>> open(this->sessions.begin(), this->sessions.end());
+        for (const std::shared_ptr<CallerSession> &session : open) {
+            session->abortTransaction();
+        }
+    });
+}
+
+net::awaitable<std::size_t> TrafficCore::sessionCount()
+{
+    const auto count = [this]() -> net::awaitable<std::size_t> { co_return this->sessions.size(); };
+    co_return co_await asio::co_spawn(this->context, count, asio::use_awaitable);
+}
+
+}
--- /dev/null
+++ b/gateway/trafficcore.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "gateway/callersession.h"
+#include "net/peerserver.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <set>
+#include <thread>
+
+namespace endiveshore::gateway {
+
+struct TrafficCoreOptions
+{
+    Deployment deployment;
+    ServerLinkFactory links;
+    const CallerProtocol *protocol = nullptr;
+    telemetry::DecisionLog *log = nullptr;
+    telemetry::Metrics *metrics = nullptr;
+};
+
+/// Path on which daemons give each other the configuration in force.
+inline constexpr std::string_view ConfigurationPath = "/peer/configuration";
+
+/// The traffic thread: caller sessions, server connections, and units of work for other daemons. The public functions
+/// may be called from the control thread.
+class TrafficCore
+{
+public:
+    explicit TrafficCore(TrafficCoreOptions options);
+    ~TrafficCore();
+
+    /// Binds the listening sockets and starts the thread. Throws boost::system::system_error if an address is taken.
+    void start();
+
+    /// Closes all connections and ends the thread.
+    void stop();
+
+    void publish(std::shared_ptr<const GatewayView> view);
+    void publishShares(std::shared_ptr<const RateShares> shares);
+
+    /// Runs WorkRouter::ask() on the traffic thread. May be awaited on any executor.
+    net::awaitable<pooling::UnitResult> ask(pooling::WorkUnit unit);
+
+    /// Operations wanted since the last call, by workspace.
+    net::awaitable<std::map<std::string, std::uint64_t, std::less<>>> takeDemand();
+
+    /// Closes about one of @p parts of the idle sessions.
+    void closeIdleSessions(unsigned parts);
+
+    /// Ends resting transactions and closes their sessions.
+    void abortTransactions();
+
+    /// Sessions that are open.
+    net::awaitable<std::size_t> sessionCount();
+
+private:
+    net::awaitable<void> acceptLoop();
+    net::awaitable<void> tickLoop();
+    net::awaitable<net::HttpResponse> servePeer(net::HttpRequest request);
+    void updateRates();
+
+    TrafficCoreOptions options;
+    boost::asio::io_context context{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard;
+    WorkRouter router;
+    OperationRunner runner;
+    RateGate rates;
+    std::shared_ptr<SessionContext> sessionContext;
+    std::shared_ptr<const GatewayView> view = std::make_shared<GatewayView>();
+    std::shared_ptr<const RateShares> shares = std::make_shared<RateShares>();
+    std::optional<boost::asio::ip::tcp::acceptor> acceptor;
+    std::shared_ptr<net::PeerServer> peerServer;
+    std::set<std::shared_ptr<CallerSession>> sessions;
+    bool closingSessions = false;
+    std::thread thread;
+};
+
+}
--- /dev/null
+++ b/gateway/workrouter.cpp
@@ -0,0 +1,296 @@
+#include "gateway/workrouter.h"
+
+#include "core/error.h"
+#include "core/json.h"
+#include "gateway/workmessage.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace endiveshore::gateway {
+
+namespace asio = boost::asio;
+using pooling::UnitError;
+using pooling::UnitKind;
+using pooling::UnitOutcome;
+
+namespace {
+
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+
+/// Daemons that are tried for one unit: the home, this daemon, and one more with another path to the server.
+constexpr std::size_t MaximumCandidates = 3;
+/// A daemon that could not reach a server is passed over for this long.
+constexpr std::chrono::milliseconds AvoidanceTime{1'000};
+/// Time for the way to another daemon and back beyond the limits of the unit itself.
+constexpr std::chrono::milliseconds TransitTime{300};
+/// A peer that accepts no connection within this time is passed over.
+constexpr std::chrono::milliseconds PeerConnectTimeout{400};
+constexpr std::chrono::milliseconds PeerPing{500};
+/// Share of a server's connections that its home may open. The rest is for a former home whose connections the server
+/// has not dropped yet, and for daemons that go past the home.
+constexpr unsigned HomeConnectionPercent = 72;
+/// Share of a server's connections that any other daemon may open.
+constexpr unsigned OtherConnectionPercent = 9;
+constexpr unsigned Percent = 100;
+
+net::PeerClientOptions peerOptions()
+{
+    net::PeerClientOptions options;
+    options.connectTimeout = PeerConnectTimeout;
+    options.session.pingAfter = PeerPing;
+    options.session.pingTimeout = PeerPing;
+    return options;
+}
+
+/// True if the server itself has answered, or would have if it had a free slot.
+bool isServerAnswer(const pooling::UnitResult &result)
+{
+    switch (result.error) {
+    case UnitError::Unreachable:
+    case UnitError::ConnectionLost:
+    case UnitError::NoAnswer:
+    case UnitError::ConnectionLimit:
+    case UnitError::WrongServer:
+        return false;
+    default:
+        return true;
+    }
+}
+
+bool triesElsewhere(const pooling::UnitResult &result)
+{
+    return result.outcome == UnitOutcome::NotRun
+        && (result.error == UnitError::Unreachable || result.error == UnitError::ConnectionLimit);
+}
+
+}
+
+WorkRouter::WorkRouter(WorkRouterOptions options)
+    : options(std::move(options))
+    , peers(this->options.executor, peerOptions())
+{
+}
+
+unsigned WorkRouter::connectionsFor(const BackendServer &server) const
+{
+    const auto service = this->view->configuration->services.find(server.service);
+    const unsigned limit = service == this->view->configuration->services.end() ? 0 : service->second.connectionLimit;
+    const auto homes = this->view->homes.find(server.id);
+    const bool isHome = homes != this->view->homes.end() && !homes->second.empty()
+        && homes->second.front() == this->options.deployment.daemonId;
+    return std::max(1U, limit * (isHome ? HomeConnectionPercent : OtherConnectionPercent) / Percent);
+}
+
+void WorkRouter::setView(std::shared_ptr<const GatewayView> newView)
+{
+    this->view = std::move(newView);
+    for (auto pool = this->byServer.begin(); pool != this->byServer.end();) {
+        const BackendServer *const server = this->view->server(pool->first);
+        if (server == nullptr || this->view->configuration == nullptr) {
+            pool->second->close();
+            pool = this->byServer.erase(pool);
+            continue;
+        }
+        pool->second->update(*server, this->connectionsFor(*server));
+        ++pool;
+    }
+}
+
+std::shared_ptr<PooledServer> WorkRouter::poolOf(const std::string &server)
+{
+    const auto found = this->byServer.find(server);
+    if (found != this->byServer.end()) {
+        return found->second;
+    }
+    const BackendServer *const entry = this->view->server(server);
+    if (entry == nullptr || this->view->configuration == nullptr) {
+        return nullptr;
+    }
+    auto pool = std::make_shared<PooledServer>(PooledServerOptions{.executor = this->options.executor,
+                                                                   .server = *entry,
+                                                                   .connections = this->connectionsFor(*entry),
+                                                                   .links = this->options.links,
+                                                                   .log = this->options.log});
+    this->byServer.emplace(server, pool);
+    return pool;
+}
+
+std::vector<std::string> WorkRouter::candidates(std::string_view server, core::TimePoint now) const
+{
+    std::vector<std::string> order;
+    const auto homes = this->view->homes.find(server);
+    if (homes != this->view->homes.end()) {
+        order = homes->second;
+    }
+    const std::string &self = this->options.deployment.daemonId;
+    std::erase(order, self);
+    const bool selfIsHome = homes != this->view->homes.end() && !homes->second.empty() && homes->second.front() == self;
+    order.insert(order.begin() + (selfIsHome || order.empty() ? 0 : 1), self);
+    const auto isAvoided = [&](const std::string &daemon) {
+        const auto avoided = this->avoidedUntil.find({std::string(server), daemon});
+        return avoided != this->avoidedUntil.end() && now < avoided->second;
+    };
+    std::ranges::stable_partition(order, [&](const std::string &daemon) { return !isAvoided(daemon); });
+    if (order.size() > MaximumCandidates) {
+        order.resize(MaximumCandidates);
+    }
+    return order;
+}
+
+net::awaitable<pooling::UnitResult> WorkRouter::run(pooling::WorkUnit unit, UnitPlace &place)
+{
+    const core::TimePoint start = core::Clock::now();
+    const std::chrono::milliseconds queueLimit = unit.queueLimit;
+    pooling::UnitResult result{.outcome = UnitOutcome::NotRun, .error = UnitError::Unreachable};
+    place.server = unit.server;
+    const std::vector<std::string> order = this->candidates(unit.server, start);
+    for (const std::string &daemon : order) {
+        const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(core::Clock::now() - start);
+        if (waited > queueLimit) {
+            break;
+        }
+        unit.queueLimit = queueLimit - waited;
+        place.daemon = daemon;
+        pooling::WorkUnit attempt = unit;
+        result = co_await this->runAt(std::move(attempt), place);
+        if (!triesElsewhere(result)) {
+            break;
+        }
+        this->avoidedUntil[{unit.server, daemon}] = core::Clock::now() + AvoidanceTime;
+        if (this->options.log != nullptr) {
+            this->options.log->line("unit_moved")
+                .field("request", unit.id)
+                .field("server", unit.server)
+                .field("from_daemon", daemon)
+                .field("reason", result.errorText);
+        }
+    }
+    co_return result;
+}
+
+net::awaitable<pooling::UnitResult> WorkRouter::ask(pooling::WorkUnit unit)
+{
+    struct Pending
+    {
+        explicit Pending(const net::Executor &executor)
+            : answered(executor, core::TimePoint::max())
+        {
+        }
+        asio::steady_timer answered;
+        std::size_t open = 0;
+        pooling::UnitResult result{.outcome = UnitOutcome::NotRun, .error = UnitError::Unreachable};
+        bool reached = false;
+    };
+    const auto pending = std::make_shared<Pending>(this->options.executor);
+    const std::vector<std::string> order = this->candidates(unit.server, core::Clock::now());
+    pending->open = order.size();
+    for (const std::string &daemon : order) {
+        const auto attempt = [this, pending, unit, daemon]() -> net::awaitable<void> {
+            pooling::WorkUnit copy = unit;
+            UnitPlace place{.server = unit.server, .daemon = daemon};
+            const pooling::UnitResult result = co_await this->runAt(std::move(copy), std::move(place));
+            --pending->open;
+            if (!pending->reached) {
+                pending->result = result;
+                pending->reached = isServerAnswer(result);
+            }
+            if (pending->reached || pending->open == 0) {
+                pending->answered.cancel();
+            }
+        };
+        asio::co_spawn(this->options.executor, attempt, asio::detached);
+    }
+    if (pending->open > 0) {
+        co_await pending->answered.async_wait(UseTuple);
+    }
+    co_return pending->result;
+}
+
+net::awaitable<pooling::UnitResult> WorkRouter::runAt(pooling::WorkUnit unit, UnitPlace place)
+{
+    if (place.daemon == this->options.deployment.daemonId) {
+        co_return co_await this->runForPeer(std::move(unit));
+    }
+    co_return co_await this->runRemotely(std::move(unit), std::move(place.daemon));
+}
+
+net::awaitable<pooling::UnitResult> WorkRouter::runForPeer(pooling::WorkUnit unit)
+{
+    const std::shared_ptr<PooledServer> pool = this->poolOf(unit.server);
+    if (pool == nullptr) {
+        co_return pooling::UnitResult{
+            .outcome = UnitOutcome::NotRun, .error = UnitError::Unreachable, .errorText = "unknown server"};
+    }
+    co_return co_await pool->run(std::move(unit));
+}
+
+net::awaitable<pooling::UnitResult> WorkRouter::runRemotely(pooling::WorkUnit unit, std::string daemon)
+{
+    const auto peer = this->view->daemons.find(daemon);
+    if (peer == this->view->daemons.end()) {
+        co_return pooling::UnitResult{
+            .outcome = UnitOutcome::NotRun, .error = UnitError::Unreachable, .errorText = "unknown daemon"};
+    }
+    const net::TcpEndpoint endpoint = peer->second.endpoint;
+    const core::Duration timeout = unit.queueLimit + unit.statementLimit + TransitTime;
+    const core::BootTime sentAt = core::BootClock::now();
+    net::HttpRequest request = net::jsonRequest(WorkPath, toJson(unit));
+    pooling::UnitResult result;
+    try {
+        const net::HttpResponse response = co_await this->peers.exchange(endpoint, std::move(request), timeout);
+        result = core::valueOrThrow([&response]() -> boost::leaf::result<pooling::UnitResult> {
+            BOOST_LEAF_AUTO(body, core::parseJsonObject(response.body));
+            return unitResultFromJson(body);
+        });
+    } catch (const core::Error &error) {
+        if (error.outcome == core::Outcome::NotRun) {
+            co_return pooling::UnitResult{
+                .outcome = UnitOutcome::NotRun, .error = UnitError::Unreachable, .errorText = error.message};
+        }
+        // A transaction whose daemon is lost is never committed; a single read keeps nothing.
+        const bool mayPersist = unit.kind == UnitKind::Write || unit.kind == UnitKind::Commit;
+        co_return pooling::UnitResult{.outcome = mayPersist ? UnitOutcome::Unknown : UnitOutcome::NotRun,
+                                      .error = UnitError::ConnectionLost,
+                                      .errorText = error.message};
+    }
+    // The age is counted from before the request left, since its way back is not known.
+    if (result.provenPosition) {
+        result.proofAge += core::BootClock::now() - sentAt;
+    }
+    co_return result;
+}
+
+void WorkRouter::tick(core::TimePoint now)
+{
+    for (const auto &[server, pool] : this->byServer) {
+        pool->tick(now);
+    }
+    std::erase_if(this->avoidedUntil, [now](const auto &entry) { return entry.second < now; });
+}
+
+void WorkRouter::close()
+{
+    for (const auto &[server, pool] : this->byServer) {
+        pool->close();
+    }
+    this->peers.closeAll();
+}
+
+std::optional<core::TimePoint> WorkRouter::lastAnswer(std::string_view server) const
+{
+    const auto found = this->byServer.find(server);
+    return found == this->byServer.end() ? std::nullopt : found->second->lastAnswer();
+}
+
+const WorkRouter::PoolMap &WorkRouter::pools() const
+{
+    return this->byServer;
+}
+
+}
--- /dev/null
+++ b/limits/demandshares.cpp
@@ -0,0 +1,98 @@
+#include "limits/demandshares.h"
+
+#include <algorithm>
+
+namespace endiveshore::limits {
+
+namespace {
+
+double demandFor(const Demand &demand, std::string_view workspace)
+{
+    const auto found = demand.find(workspace);
+    return found == demand.end() ? 0 : found->second;
+}
+
+}
+
+DemandShares::DemandShares(std::string self, core::TimePoint startedAt, DemandSharesOptions options)
+    : self(std::move(self))
+    , startedAt(startedAt)
+    , options(options)
+{
+}
+
+void DemandShares::report(std::string_view member, Demand demand, core::TimePoint now)
+{
+    if (member == this->self) {
+        return;
+    }
+    this->heardAt = now;
+    this->reports.insert_or_assign(std::string(member), Report{.demand = std::move(demand), .heardAt = now});
+}
+
+void DemandShares::setOwnDemand(Demand demand)
+{
+    this->own = std::move(demand);
+}
+
+void DemandShares::setLeaseHolders(std::map<std::string, bool, std::less<>> holders, core::TimePoint now)
+{
+    this->leaseHolders = std::move(holders);
+    this->leasesReadAt = now;
+}
+
+void DemandShares::forget(std::string_view member)
+{
+    const auto found = this->reports.find(member);
+    if (found != this->reports.end()) {
+        this->reports.erase(found);
+    }
+}
+
+bool DemandShares::holdsShare(std::string_view member, const Report &report, core::TimePoint now) const
+{
+    return now < report.heardAt + this->options.retention || this->leaseHolders.contains(member);
+}
+
+bool DemandShares::isEntitled(core::TimePoint now) const
+{
+    const core::TimePoint heard = std::max(this->heardAt.value_or(core::TimePoint::min()),
+                                           this->leasesReadAt.value_or(core::TimePoint::min()));
+    if (now < this->startedAt + this->options.introduction && !this->heardAt) {
+        return false;
+    }
+    return now < std::max(heard, this->startedAt) + this->options.entitlement;
+}
+
+std::size_t DemandShares::holders(core::TimePoint now) const
+{
+    std::size_t count = 1;
+    for (const auto &[member, report] : this->reports) {
+        count += this->holdsShare(member, report, now) ? 1 : 0;
+    }
+    for (const auto &[member, held] : this->leaseHolders) {
+        count += held && member != this->self && !this->reports.contains(member) ? 1 : 0;
+    }
+    return count;
+}
+
+double DemandShares::share(std::string_view workspace, double ratePerSecond, core::TimePoint now) const
+{
+    if (ratePerSecond <= 0 || !this->isEntitled(now)) {
+        return 0;
+    }
+    const double wanted = demandFor(this->own, workspace);
+    double total = wanted;
+    for (const auto &[member, report] : this->reports) {
+        if (this->holdsShare(member, report, now)) {
+            total += demandFor(report.demand, workspace);
+        }
+    }
+    const auto members = static_cast<double>(this->holders(now));
+    if (total <= ratePerSecond) {
+        return (wanted + (ratePerSecond - total) / members) / ratePerSecond;
+    }
+    return (1 - this->options.evenPart) * wanted / total + this->options.evenPart / members;
+}
+
+}
--- /dev/null
+++ b/limits/demandshares.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace endiveshore::limits {
+
+/// Operations per second that a daemon's callers ask for, by workspace.
+using Demand = std::map<std::string, double, std::less<>>;
+
+struct DemandSharesOptions
+{
+    /// Part of the rate that is split evenly when the demand exceeds the rate, so that a daemon without demand so far
+    /// can serve its first callers.
+    double evenPart = 0.1;
+    /// A daemon that nobody has heard for this time, and that no longer holds its lease in the metadata store, has no
+    /// share. It stops spending earlier; see isEntitled().
+    core::Milliseconds retention{4'000};
+    /// A daemon that has heard neither a peer nor the metadata store for this time stops spending. Below the retention
+    /// by more than a report takes.
+    core::Milliseconds entitlement{3'000};
+    /// Until this time after the start, a daemon that has heard nobody has no share: it may have been restarted while
+    /// others hold the whole rate.
+    core::Milliseconds introduction{1'500};
+};
+
+/// Divides the rate of each workspace among the daemons by their demand. Pure.
+///
+/// Every daemon computes its own share from the demand that all have reported. Where the demand is below the rate, the
+/// rest is split evenly, so a daemon can take over callers of another before the next report. Where it is above, the
+/// shares are proportional to the demand.
+class DemandShares
+{
+public:
+    DemandShares(std::string self, core::TimePoint startedAt, DemandSharesOptions options = {});
+
+    /// Records what @p member has reported.
+    void report(std::string_view member, Demand demand, core::TimePoint now);
+
+    /// Sets the demand of this daemon.
+    void setOwnDemand(Demand demand);
+
+    /// Members that hold a lease in the metadata store, as last read at @p now.
+    void setLeaseHolders(std::map<std::string, bool, std::less<>> holders, core::TimePoint now);
+
+    /// The member has left and spends nothing any more.
+    void forget(std::string_view member);
+
+    /// Part of the rate of @p workspace, from 0 to 1, that this daemon may spend.
+    double share(std::string_view workspace, double ratePerSecond, core::TimePoint now) const;
+
+    /// Daemons that have a share, this one included.
+    std::size_t holders(core::TimePoint now) const;
+
+private:
+    struct Report
+    {
+        Demand demand;
+        core::TimePoint heardAt;
+    };
+
+    bool holdsShare(std::string_view member, const Report &report, core::TimePoint now) const;
+    bool isEntitled(core::TimePoint now) const;
+
+    std::string self;
+    core::TimePoint startedAt;
+    DemandSharesOptions options;
+    Demand own;
+    std::map<std::string, Report, std::less<>> reports;
+    std::map<std::string, bool, std::less<>> leaseHolders;
+    std::optional<core::TimePoint> leasesReadAt;
+    std::optional<core::TimePoint> heardAt; ///< Of the last report.
+};
+
+}
--- /dev/null
+++ b/pooling/admissionqueue.cpp
@@ -0,0 +1,102 @@
+#include "pooling/admissionqueue.h"
+
+namespace endiveshore::pooling {
+
+namespace {
+
+queueing::FairQueueOptions queueOptions(unsigned slots)
+{
+    return {.schedule = {.slots = slots}};
+}
+
+}
+
+AdmissionQueue::AdmissionQueue(unsigned slots)
+    : singles(queueOptions(slots))
+    , transactions(queueOptions(slots))
+{
+}
+
+void AdmissionQueue::setSlots(unsigned slots)
+{
+    this->singles.setSlots(slots);
+    this->transactions.setSlots(slots);
+}
+
+queueing::PushResult AdmissionQueue::push(TicketId ticket,
+                                          UnitNeed need,
+                                          const queueing::QueueTicket &request,
+                                          core::TimePoint now)
+{
+    if (need == UnitNeed::Slot) {
+        this->continued.push_back({.ticket = ticket, .deadline = request.deadline, .queuedAt = now});
+        return queueing::PushResult::Queued;
+    }
+    Queue &queue = need == UnitNeed::SlotAndTransaction ? this->transactions : this->singles;
+    return queue.push(std::move(ticket), request, now);
+}
+
+std::optional<AdmissionQueue::Admitted> AdmissionQueue::nextFrom(Queue &queue, UnitNeed need, core::TimePoint now)
+{
+    const std::optional<Queue::Dispatched> dispatched = queue.pop(now);
+    if (!dispatched) {
+        return std::nullopt;
+    }
+    return Admitted{.ticket = dispatched->item, .need = need, .charge = dispatched->charge, .waited = dispatched->waited};
+}
+
+std::optional<AdmissionQueue::Admitted> AdmissionQueue::next(const FreeResources &free, core::TimePoint now)
+{
+    if (!free.slot) {
+        return std::nullopt;
+    }
+    if (!this->continued.empty()) {
+        const InTransaction unit = this->continued.front();
+        this->continued.pop_front();
+        return Admitted{.ticket = unit.ticket, .need = UnitNeed::Slot, .waited = now - unit.queuedAt};
+    }
+    const bool transactionFirst = this->transactionsNext;
+    for (const bool transaction : {transactionFirst, !transactionFirst}) {
+        if (transaction ? !free.transaction : !free.connection) {
+            continue;
+        }
+        Queue &queue = transaction ? this->transactions : this->singles;
+        const UnitNeed need = transaction ? UnitNeed::SlotAndTransaction : UnitNeed::SlotAndConnection;
+        if (std::optional<Admitted> admitted = this->nextFrom(queue, need, now)) {
+            this->transactionsNext = !transaction;
+            return admitted;
+        }
+    }
+    return std::nullopt;
+}
+
+void AdmissionQueue::complete(const Admitted &unit, queueing::Cost used)
+{
+    if (unit.need == UnitNeed::Slot) {
+        return;
+    }
+    (unit.need == UnitNeed::SlotAndTransaction ? this->transactions : this->singles).complete(unit.charge, used);
+}
+
+std::vector<TicketId> AdmissionQueue::takeExpired(core::TimePoint now)
+{
+    std::vector<TicketId> expired = this->singles.takeExpired(now);
+    for (const TicketId ticket : this->transactions.takeExpired(now)) {
+        expired.push_back(ticket);
+    }
+    std::erase_if(this->continued, [&](const InTransaction &unit) {
+        if (unit.deadline >= now) {
+            return false;
+        }
+        expired.push_back(unit.ticket);
+        return true;
+    });
+    return expired;
+}
+
+std::size_t AdmissionQueue::size() const
+{
+    return this->continued.size() + this->singles.size() + this->transactions.size();
+}
+
+}
--- /dev/null
+++ b/pooling/connectionbook.cpp
@@ -0,0 +1,137 @@
+#include "pooling/connectionbook.h"
+
+namespace endiveshore::pooling {
+
+namespace {
+
+/// One connection in this many is kept for single statements.
+constexpr unsigned SingleStatementPart = 5;
+
+}
+
+ConnectionBook::ConnectionBook(unsigned limit)
+    : limit(limit)
+{
+}
+
+void ConnectionBook::setLimit(unsigned newLimit)
+{
+    this->limit = newLimit;
+}
+
+unsigned ConnectionBook::transactionLimit() const
+{
+    const unsigned kept = (this->limit + SingleStatementPart - 1) / SingleStatementPart;
+    return this->limit > kept ? this->limit - kept : 1;
+}
+
+bool ConnectionBook::hasFree() const
+{
+    return this->used < this->limit;
+}
+
+bool ConnectionBook::hasFreeForTransaction() const
+{
+    return this->hasFree() && this->transactions < this->transactionLimit();
+}
+
+std::optional<ConnectionId> ConnectionBook::idleOf(std::string_view workspace) const
+{
+    std::optional<ConnectionId> best;
+    for (const auto &[id, entry] : this->connections) {
+        if (entry.inUse || entry.workspace != workspace) {
+            continue;
+        }
+        if (!best || this->connections.at(*best).lastUsed < entry.lastUsed) {
+            best = id;
+        }
+    }
+    return best;
+}
+
+std::optional<ConnectionId> ConnectionBook::longestIdle() const
+{
+    std::optional<ConnectionId> best;
+    for (const auto &[id, entry] : this->connections) {
+        if (entry.inUse) {
+            continue;
+        }
+        if (!best || entry.lastUsed < this->connections.at(*best).lastUsed) {
+            best = id;
+        }
+    }
+    return best;
+}
+
+std::optional<ConnectionChoice> ConnectionBook::take(std::string_view workspace, bool forTransaction)
+{
+    if (forTransaction ? !this->hasFreeForTransaction() : !this->hasFree()) {
+        return std::nullopt;
+    }
+    ConnectionChoice choice;
+    if (const std::optional<ConnectionId> idle = this->idleOf(workspace)) {
+        choice.kind = ConnectionChoice::Kind::Reuse;
+        choice.connection = *idle;
+    } else {
+        if (this->connections.size() >= this->limit) {
+            choice.evicted = this->longestIdle();
+            this->connections.erase(choice.evicted.value_or(0));
+        }
+        choice.connection = ++this->lastId;
+        this->connections.emplace(choice.connection, Entry{.workspace = std::string(workspace)});
+    }
+    Entry &entry = this->connections.at(choice.connection);
+    entry.inUse = true;
+    entry.forTransaction = forTransaction;
+    ++this->used;
+    this->transactions += forTransaction ? 1 : 0;
+    return choice;
+}
+
+void ConnectionBook::release(ConnectionId connection, core::TimePoint now)
+{
+    const auto found = this->connections.find(connection);
+    if (found == this->connections.end() || !found->second.inUse) {
+        return;
+    }
+    Entry &entry = found->second;
+    entry.inUse = false;
+    entry.lastUsed = now;
+    --this->used;
+    this->transactions -= entry.forTransaction ? 1 : 0;
+    entry.forTransaction = false;
+}
+
+void ConnectionBook::remove(ConnectionId connection)
+{
+    const auto found = this->connections.find(connection);
+    if (found == this->connections.end()) {
+        return;
+    }
+    if (found->second.inUse) {
+        --this->used;
+        this->transactions -= found->second.forTransaction ? 1 : 0;
+    }
+    this->connections.erase(found);
+}
+
+std::optional<ConnectionId> ConnectionBook::idleSince(core::TimePoint before) const
+{
+    const std::optional<ConnectionId> longest = this->longestIdle();
+    if (!longest || this->connections.at(*longest).lastUsed >= before) {
+        return std::nullopt;
+    }
+    return longest;
+}
+
+std::size_t ConnectionBook::open() const
+{
+    return this->connections.size();
+}
+
+std::size_t ConnectionBook::inUse() const
+{
+    return this->used;
+}
+
+}
--- /dev/null
+++ b/pooling/connectionbook.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace endiveshore::pooling {
+
+using ConnectionId = std::uint64_t;
+
+/// How a unit of work gets its connection.
+struct ConnectionChoice
+{
+    enum class Kind {
+        Reuse, ///< Use `connection`, which is idle and belongs to the workspace.
+        Open, ///< Open a new connection, known as `connection` from now on.
+    };
+
+    Kind kind = Kind::Open;
+    ConnectionId connection = 0;
+    std::optional<ConnectionId> evicted; ///< Idle connection of another workspace to close first.
+};
+
+/// Accounts for the connections of one daemon to one backend server. A connection belongs to one workspace from its
+/// start to its end. Pure.
+class ConnectionBook
+{
+public:
+    explicit ConnectionBook(unsigned limit);
+
+    /// Changes the limit. Connections above it stay until they are idle.
+    void setLimit(unsigned limit);
+
+    /// True if a unit can get a connection now.
+    bool hasFree() const;
+
+    /// True if a transaction may start: some connections are kept for single statements, so that resting transactions
+    /// cannot hold all of them.
+    bool hasFreeForTransaction() const;
+
+    /// Takes a connection for @p workspace, preferring the idle one used last; nothing if all are in use.
+    std::optional<ConnectionChoice> take(std::string_view workspace, bool forTransaction);
+
+    /// The connection is idle again.
+    void release(ConnectionId connection, core::TimePoint now);
+
+    /// The connection has ended or could not be opened.
+    void remove(ConnectionId connection);
+
+    /// The idle connection used longest ago, if it was last used before @p before.
+    std::optional<ConnectionId> idleSince(core::TimePoint before) const;
+
+    std::size_t open() const;
+    std::size_t inUse() const;
+
+private:
+    struct Entry
+    {
+        std::string workspace;
+        bool inUse = false;
+        bool forTransaction = false;
+        core::TimePoint lastUsed;
+    };
+
+    unsigned transactionLimit() const;
+    std::optional<ConnectionId> idleOf(std::string_view workspace) const;
+    std::optional<ConnectionId> longestIdle() const;
+
+    unsigned limit;
+    ConnectionId lastId = 0;
+    std::size_t used = 0;
+    std::size_t transactions = 0;
+    std::map<ConnectionId, Entry> connections;
+};
+
+}
--- a/platform/storeclient.cpp
+++ b/store/storeclient.cpp
@@ -1,14 +1,14 @@
-#include "platform/storeclient.h"
+#include "store/storeclient.h"
 
 #include "core/error.h"
 #include "core/json.h"
 #include "net/httpclient.h"
 #include "net/httpstreamclient.h"
-#include "platform/storemessages.h"
+#include "store/storemessages.h"
 
 #include <algorithm>
 
-namespace endiveshore::platform {
+namespace endiveshore::store {
 
 namespace json = boost::json;
 
--- a/platform/storeclient.h
+++ b/store/storeclient.h
@@ -11,7 +11,7 @@
 #include <string_view>
 #include <vector>
 
-namespace endiveshore::platform {
+namespace endiveshore::store {
 
 struct StoreClientOptions
 {
--- a/platform/storemessages.cpp
+++ b/store/storemessages.cpp
@@ -1,11 +1,11 @@
-#include "platform/storemessages.h"
+#include "store/storemessages.h"
 
 #include "core/hashing.h"
 #include "core/json.h"
 
 #include <charconv>
 
-namespace endiveshore::platform {
+namespace endiveshore::store {
 
 namespace json = boost::json;
 
--- a/platform/storemessages.h
+++ b/store/storemessages.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "platform/storeclient.h"
+#include "store/storeclient.h"
 
 #include <boost/json.hpp>
 
 /// Messages of etcd's v3 JSON gateway. Keys and values are base64; 64-bit integers are strings, and fields with zero
 /// values are left out.
-namespace endiveshore::platform {
+namespace endiveshore::store {
 
 boost::json::object rangeMessage(std::string_view prefix, std::string_view from, const RangeOptions &options);
 boost::json::object getMessage(std::string_view key);
--- a/platform/vmlistclient.cpp
+++ b/store/vmlistclient.cpp
@@ -1,4 +1,4 @@
-#include "platform/vmlistclient.h"
+#include "store/vmlistclient.h"
 
 #include "core/error.h"
 #include "core/json.h"
@@ -6,7 +6,7 @@
 
 #include <optional>
 
-namespace endiveshore::platform {
+namespace endiveshore::store {
 
 namespace json = boost::json;
 
--- a/platform/vmlistclient.h
+++ b/store/vmlistclient.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace endiveshore::platform {
+namespace endiveshore::store {
 
 enum class VmKind {
     Daemon,
--- a/tests/daemon/test_configservice.cpp
+++ b/tests/daemon/test_configservice.cpp
@@ -40,23 +40,23 @@
         int concurrent = 0;
         int maxConcurrent = 0;
         std::int64_t raised = 0;
-        std::shared_ptr<platform::StoreClient> client;
+        std::shared_ptr<store::StoreClient> client;
         std::shared_ptr<ConfigurationService> service;
     };
 
     asio::io_context context;
     std::shared_ptr<standins::StoreStandin> store = std::make_shared<standins::StoreStandin>(
         context.get_executor(), standins::StoreStandinOptions{.progressInterval = 100ms});
-    platform::StoreClient operatorClient{context.get_executor(), {.endpoints = {StoreEndpoint}, .callTimeout = 500ms}};
+    store::StoreClient operatorClient{context.get_executor(), {.endpoints = {StoreEndpoint}, .callTimeout = 500ms}};
     std::map<std::string, Daemon> daemons;
 
     void add(const std::string &id, bool relay)
     {
         Daemon &daemon = this->daemons[id];
         daemon.relay = relay;
-        daemon.client = std::make_shared<platform::StoreClient>(
+        daemon.client = std::make_shared<store::StoreClient>(
             this->context.get_executor(),
-            platform::StoreClientOptions{.endpoints = {StoreEndpoint}, .callTimeout = 500ms});
+            store::StoreClientOptions{.endpoints = {StoreEndpoint}, .callTimeout = 500ms});
         ConfigurationOptions options;
         options.watchSilence = 500ms;
         options.retryInterval = 100ms;
@@ -255,7 +255,7 @@
             outcome = error.outcome;
         }
         EXPECT_EQ(outcome, core::Outcome::Unknown);
-        const platform::SwapResult retry = co_await fleet.operatorClient.compareAndSwap(key, 0, document);
+        const store::SwapResult retry = co_await fleet.operatorClient.compareAndSwap(key, 0, document);
         EXPECT_FALSE(retry.swapped);
         EXPECT_EQ(retry.currentValue, document);
         co_await waitFor([&] { return fleet.value("d1", key) == document; });
--- a/tests/platform/test_storeclient.cpp
+++ b/tests/store/test_storeclient.cpp
@@ -1,6 +1,6 @@
 #include "core/error.h"
-#include "platform/storeclient.h"
-#include "platform/vmlistclient.h"
+#include "store/storeclient.h"
+#include "store/vmlistclient.h"
 #include "standins/storestandin.h"
 #include "standins/vmliststandin.h"
 
@@ -12,7 +12,7 @@
 
 #include <gtest/gtest.h>
 
-namespace endiveshore::platform {
+namespace endiveshore::store {
 
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
