--- a/daemon/main_endiveshored.cpp
+++ b/daemon/main_endiveshored.cpp
@@ -5,7 +5,9 @@
 #include "platform/sessionsettings.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
+#include <memory>
 
 namespace {
 
@@ -48,8 +50,10 @@
     }
     gateway::PlatformAdapter adapter = platform::makeAdapter(std::getenv(platform::SettingsVariable));
     const telemetry::LogOptions logOptions = platform::sessionLogOptions(settings, adapter);
-    gateway::GatewayDaemon process(std::move(adapter), logOptions);
-    return process.run();
+    const auto process = std::make_unique<gateway::GatewayDaemon>(std::move(adapter), logOptions);
+    const int exitCode = process->run();
+    // Everything that callers and peers wait for has ended; destroying the rest would only delay the end.
+    std::quick_exit(exitCode);
 }
 
 }
--- a/gateway/callersession.cpp
+++ b/gateway/callersession.cpp
@@ -35,6 +35,9 @@
 /// Operations on open routes without a known key are accounted under this workspace.
 constexpr std::string_view OpenWorkspace = "public";
 constexpr std::chrono::milliseconds RollbackLimit{500};
+/// A daemon that has just started does not know its routes yet; callers give up a start after 2 s.
+constexpr std::chrono::milliseconds StartLimit{1'800};
+constexpr std::chrono::milliseconds StartPause{10};
 
 }
 
@@ -106,8 +109,11 @@
 net::awaitable<bool> CallerSession::start(const CallerMessage &message)
 {
     std::optional<CallerError> refused;
+    co_await this->awaitConfiguration();
     if (message.kind != CallerMessageKind::Start) {
         refused = CallerError::Malformed;
+    } else if (this->context->view->configuration == nullptr) {
+        refused = CallerError::Overloaded;
     } else {
         this->database = message.start.database;
         this->key = message.start.key;
@@ -124,6 +130,15 @@
     co_return co_await this->write(std::move(text));
 }
 
+net::awaitable<void> CallerSession::awaitConfiguration()
+{
+    const core::TimePoint giveUp = this->receivedAt + StartLimit;
+    while (this->context->view->configuration == nullptr && core::Clock::now() < giveUp) {
+        asio::steady_timer pause(this->context->executor, StartPause);
+        co_await pause.async_wait(UseTuple);
+    }
+}
+
 std::optional<CallerError> CallerSession::checkAccess(OperationContext &access) const
 {
     const GatewayView &view = *this->context->view;
--- a/gateway/callersession.h
+++ b/gateway/callersession.h
@@ -66,6 +66,7 @@
     net::awaitable<std::optional<std::string>> readLine();
     net::awaitable<bool> write(std::string text);
     net::awaitable<bool> start(const CallerMessage &message);
+    net::awaitable<void> awaitConfiguration();
     net::awaitable<CallerReply> answer(pooling::Statement statement);
     net::awaitable<CallerReply> begin(pooling::Statement statement);
     net::awaitable<CallerReply> commit(pooling::Statement statement);
--- a/gateway/gatewaydaemon.cpp
+++ b/gateway/gatewaydaemon.cpp
@@ -34,10 +34,11 @@
 constexpr std::size_t HomesPerServer = 4;
 /// The balancer takes a daemon out after two missed questions, one second apart.
 constexpr std::chrono::milliseconds BalancerLag{2'200};
-/// Idle sessions are closed in this many steps over the time that is left of the grace.
-constexpr unsigned CloseSteps = 10;
+/// Idle sessions are closed in this many steps, so that their callers do not reconnect all at once.
+constexpr unsigned CloseSteps = 8;
+constexpr std::chrono::milliseconds CloseInterval{200};
 /// Time that the end of the process takes after its last session.
-constexpr std::chrono::milliseconds ExitReserve{500};
+constexpr std::chrono::milliseconds ExitReserve{400};
 
 std::string datagramAddress(const net::TcpEndpoint &endpoint)
 {
@@ -80,6 +81,7 @@
     this->context.run();
     this->traffic.stop();
     this->log.line("stopped");
+    this->log.flush();
     return 0;
 }
 
@@ -513,21 +515,19 @@
     asio::steady_timer timer(this->context);
     timer.expires_at(start + BalancerLag);
     co_await timer.async_wait(UseTuple);
-    const core::TimePoint last = start + grace - ExitReserve;
     const core::TimePoint transactionEnd = start + grace / 2;
-    const core::Duration step = (last - core::Clock::now()) / (CloseSteps + 2);
-    bool aborted = false;
-    for (unsigned remaining = CloseSteps; core::Clock::now() < last; remaining = std::max(1U, remaining - 1)) {
+    const core::TimePoint last = start + grace - ExitReserve;
+    unsigned remaining = CloseSteps;
+    while (core::Clock::now() < last) {
+        // Once all sessions had their turn, those that callers still open are closed at every step.
         this->traffic.closeIdleSessions(remaining);
-        if (!aborted && core::Clock::now() >= transactionEnd) {
-            aborted = true;
-        }
-        if (aborted) {
+        remaining = std::max(1U, remaining - 1);
+        if (core::Clock::now() >= transactionEnd) {
             this->traffic.abortTransactions();
         }
-        timer.expires_after(step);
+        timer.expires_after(CloseInterval);
         co_await timer.async_wait(UseTuple);
-        const std::size_t open = co_await this->traffic.sessionCount();
+        const std::size_t open = co_await this->traffic.openWork();
         if (open == 0) {
             break;
         }
--- a/gateway/pooledserver.cpp
+++ b/gateway/pooledserver.cpp
@@ -28,6 +28,9 @@
 constexpr unsigned SendAhead = 1;
 /// After a failure to connect, units are refused for this long instead of waiting for another attempt each.
 constexpr std::chrono::milliseconds UnreachableHold{150};
+/// After a refusal by the server's connection limit only open connections are used for this long. A server drops the
+/// connections of a daemon that went dark after 3 s, those of one that ended at once.
+constexpr std::chrono::milliseconds ConnectionRefusalHold{250};
 /// Idle connections are closed well before the server does, which would lose a write that is on its way.
 constexpr std::chrono::seconds IdleConnectionLife{20};
 constexpr std::size_t LeaseIdBytes = 8;
@@ -133,6 +136,11 @@
     return this->queue.size();
 }
 
+std::size_t PooledServer::openTransactions() const
+{
+    return this->leases.size();
+}
+
 std::optional<core::TimePoint> PooledServer::lastAnswer() const
 {
     return this->answeredAt;
@@ -294,8 +302,11 @@
         co_return notRun(UnitError::Unreachable, failure);
     }
     if (reply.isError) {
-        this->counts.connectionRefusals += reply.error == UnitError::ConnectionLimit ? 1 : 0;
         this->book.remove(opened->id);
+        if (reply.error == UnitError::ConnectionLimit) {
+            ++this->counts.connectionRefusals;
+            this->book.refuseNew(core::Clock::now() + ConnectionRefusalHold);
+        }
         co_return notRun(reply.error == UnitError::Other ? UnitError::Unreachable : reply.error, reply.errorText);
     }
     ++this->counts.opened;
@@ -306,13 +317,24 @@
 
 net::awaitable<pooling::UnitResult> PooledServer::runAdmitted(Unit unit, UnitNeed need)
 {
-    std::optional<Slot> slot = co_await this->admit(unit, need);
-    if (!slot) {
-        co_return notRun(UnitError::QueueFull, "no slot in time");
-    }
     const bool transaction = need == UnitNeed::SlotAndTransaction;
+    const core::TimePoint deadline = core::Clock::now() + unit.queueLimit;
+    std::optional<Slot> slot;
     std::shared_ptr<Connection> connection;
-    Result result = co_await this->obtainConnection(unit.workspace, transaction, connection);
+    Result result;
+    // A unit whose connection the server refuses queues again for one of those that are open.
+    do {
+        unit.queueLimit = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - core::Clock::now());
+        slot.reset();
+        std::optional<Slot> admitted = co_await this->admit(unit, need);
+        if (!admitted) {
+            co_return notRun(UnitError::QueueFull, "no slot in time");
+        }
+        slot.emplace(std::move(*admitted));
+        result = co_await this->obtainConnection(unit.workspace, transaction, connection);
+    } while (connection == nullptr && this->book.open() > 0
+             && (result.error == UnitError::ConnectionLimit || result.error == UnitError::QueueFull)
+             && core::Clock::now() < deadline);
     if (connection == nullptr) {
         co_return result;
     }
@@ -611,6 +633,7 @@
         asio::co_spawn(this->options.executor, this->rollBack(lease->second.connection), asio::detached);
         lease = this->leases.erase(lease);
     }
+    this->book.tick(now);
     while (const std::optional<pooling::ConnectionId> old = this->book.idleSince(now - IdleConnectionLife)) {
         this->idle.erase(*old);
         this->book.remove(*old);
--- a/gateway/pooledserver.h
+++ b/gateway/pooledserver.h
@@ -57,6 +57,7 @@
     const PooledServerCounters &counters() const;
     std::size_t openConnections() const;
     std::size_t queued() const;
+    std::size_t openTransactions() const;
 
     /// When the server answered last, if it ever did.
     std::optional<core::TimePoint> lastAnswer() const;
--- a/gateway/trafficcore.cpp
+++ b/gateway/trafficcore.cpp
@@ -193,9 +193,15 @@
     });
 }
 
-net::awaitable<std::size_t> TrafficCore::sessionCount()
+net::awaitable<std::size_t> TrafficCore::openWork()
 {
-    const auto count = [this]() -> net::awaitable<std::size_t> { co_return this->sessions.size(); };
+    const auto count = [this]() -> net::awaitable<std::size_t> { 
+        std::size_t leases = 0;
+        for (const auto &[server, pool] : this->router.pools()) {
+            leases += pool->openTransactions();
+        }
+        co_return this->sessions.size() + this->peerServer->activeRequests() + leases;
+    };
     co_return co_await asio::co_spawn(this->context, count, asio::use_awaitable);
 }
 
--- a/gateway/trafficcore.h
+++ b/gateway/trafficcore.h
@@ -52,8 +52,8 @@
     /// Ends resting transactions and closes their sessions.
     void abortTransactions();
 
-    /// Sessions that are open.
-    net::awaitable<std::size_t> sessionCount();
+    /// Sessions that are open, units of other daemons that run, and transactions of other daemons' callers.
+    net::awaitable<std::size_t> openWork();
 
 private:
     net::awaitable<void> acceptLoop();
--- a/limits/demandshares.cpp
+++ b/limits/demandshares.cpp
@@ -54,13 +54,15 @@
     return now < report.heardAt + this->options.retention || this->leaseHolders.contains(member);
 }
 
+bool DemandShares::isIntroduced(core::TimePoint now) const
+{
+    return this->heardAt || now >= this->startedAt + this->options.introduction;
+}
+
 bool DemandShares::isEntitled(core::TimePoint now) const
 {
     const core::TimePoint heard = std::max(this->heardAt.value_or(core::TimePoint::min()),
                                            this->leasesReadAt.value_or(core::TimePoint::min()));
-    if (now < this->startedAt + this->options.introduction && !this->heardAt) {
-        return false;
-    }
     return now < std::max(heard, this->startedAt) + this->options.entitlement;
 }
 
@@ -81,6 +83,9 @@
     if (ratePerSecond <= 0 || !this->isEntitled(now)) {
         return 0;
     }
+    if (!this->isIntroduced(now)) {
+        return this->options.initialShare;
+    }
     const double wanted = demandFor(this->own, workspace);
     double total = wanted;
     for (const auto &[member, report] : this->reports) {
--- a/limits/demandshares.h
+++ b/limits/demandshares.h
@@ -23,9 +23,12 @@
     /// A daemon that has heard neither a peer nor the metadata store for this time stops spending. Below the retention
     /// by more than a report takes.
     core::Milliseconds entitlement{3'000};
-    /// Until this time after the start, a daemon that has heard nobody has no share: it may have been restarted while
-    /// others hold the whole rate.
+    /// Until this time after the start, a daemon that has heard nobody has only `initialShare`: it may have been
+    /// restarted while others hold the whole rate.
     core::Milliseconds introduction{1'500};
+    /// Small enough that all daemons of a usual fleet, and one restarted beside others, stay within what the platform
+    /// tolerates above a rate.
+    double initialShare = 0.125;
 };
 
 /// Divides the rate of each workspace among the daemons by their demand. Pure.
@@ -64,6 +67,7 @@
     };
 
     bool holdsShare(std::string_view member, const Report &report, core::TimePoint now) const;
+    bool isIntroduced(core::TimePoint now) const;
     bool isEntitled(core::TimePoint now) const;
 
     std::string self;
--- a/pooling/connectionbook.cpp
+++ b/pooling/connectionbook.cpp
@@ -1,5 +1,7 @@
 #include "pooling/connectionbook.h"
 
+#include <algorithm>
+
 namespace endiveshore::pooling {
 
 namespace {
@@ -19,15 +21,34 @@
     this->limit = newLimit;
 }
 
+unsigned ConnectionBook::currentLimit() const
+{
+    return this->refusedAt ? std::min(this->limit, *this->refusedAt) : this->limit;
+}
+
 unsigned ConnectionBook::transactionLimit() const
 {
-    const unsigned kept = (this->limit + SingleStatementPart - 1) / SingleStatementPart;
-    return this->limit > kept ? this->limit - kept : 1;
+    const unsigned current = this->currentLimit();
+    const unsigned kept = (current + SingleStatementPart - 1) / SingleStatementPart;
+    return current > kept ? current - kept : 1;
+}
+
+void ConnectionBook::refuseNew(core::TimePoint until)
+{
+    this->refusedAt = std::max<unsigned>(1, static_cast<unsigned>(this->connections.size()));
+    this->refusedUntil = until;
+}
+
+void ConnectionBook::tick(core::TimePoint now)
+{
+    if (this->refusedAt && now >= this->refusedUntil) {
+        this->refusedAt.reset();
+    }
 }
 
 bool ConnectionBook::hasFree() const
 {
-    return this->used < this->limit;
+    return this->used < this->currentLimit();
 }
 
 bool ConnectionBook::hasFreeForTransaction() const
@@ -73,9 +94,12 @@
         choice.kind = ConnectionChoice::Kind::Reuse;
         choice.connection = *idle;
     } else {
-        if (this->connections.size() >= this->limit) {
+        if (this->connections.size() >= this->currentLimit()) {
             choice.evicted = this->longestIdle();
-            this->connections.erase(choice.evicted.value_or(0));
+            if (!choice.evicted) {
+                return std::nullopt;
+            }
+            this->connections.erase(*choice.evicted);
         }
         choice.connection = ++this->lastId;
         this->connections.emplace(choice.connection, Entry{.workspace = std::string(workspace)});
--- a/pooling/connectionbook.h
+++ b/pooling/connectionbook.h
@@ -35,6 +35,13 @@
     /// Changes the limit. Connections above it stay until they are idle.
     void setLimit(unsigned limit);
 
+    /// The server has refused a new connection because it has too many. No more than those that are open are used
+    /// until @p until.
+    void refuseNew(core::TimePoint until);
+
+    /// Lets new connections be opened again if the time given to refuseNew() has passed.
+    void tick(core::TimePoint now);
+
     /// True if a unit can get a connection now.
     bool hasFree() const;
 
@@ -66,11 +73,14 @@
         core::TimePoint lastUsed;
     };
 
+    unsigned currentLimit() const;
     unsigned transactionLimit() const;
     std::optional<ConnectionId> idleOf(std::string_view workspace) const;
     std::optional<ConnectionId> longestIdle() const;
 
     unsigned limit;
+    std::optional<unsigned> refusedAt; ///< Connections that were open when the server refused another one.
+    core::TimePoint refusedUntil;
     ConnectionId lastId = 0;
     std::size_t used = 0;
     std::size_t transactions = 0;
