--- a/daemon/main_endiveshored.cpp
+++ b/daemon/main_endiveshored.cpp
@@ -43,8 +43,7 @@
     if (settings.action() == core::SettingsAction::Check) {
         platform::makeAdapter(std::getenv(platform::SettingsVariable));
     }
-    const std::optional<int> answered
-        = core::answerAction(settings, program, platform::sessionSettings(), std::cout);
+    const std::optional<int> answered = core::answerAction(settings, program, platform::sessionSettings(), std::cout);
     if (answered) {
         return *answered;
     }
--- a/gateway/callersession.cpp
+++ b/gateway/callersession.cpp
@@ -31,7 +31,7 @@
 /// A caller that does not take bytes for this long is gone.
 constexpr int UserTimeoutMs = 10'000;
 /// Part of the latency objective that an operation may wait for its workspace's rate.
-constexpr int RateWaitPart = 8;
+constexpr int RateWaitPart = 5;
 /// Operations on open routes without a known key are accounted under this workspace.
 constexpr std::string_view OpenWorkspace = "public";
 constexpr std::chrono::milliseconds RollbackLimit{500};
@@ -87,8 +87,8 @@
 
 net::awaitable<std::optional<std::string>> CallerSession::readLine()
 {
-    auto [error, length]
-        = co_await asio::async_read_until(this->socket, asio::dynamic_buffer(this->input, MaxLineBytes), '\n', UseTuple);
+    auto [error, length] = co_await asio::async_read_until(
+        this->socket, asio::dynamic_buffer(this->input, MaxLineBytes), '\n', UseTuple);
     if (error) {
         co_return std::nullopt;
     }
@@ -389,8 +389,9 @@
         unit.statementLimit = RollbackLimit;
         UnitPlace place = this->transaction->place;
         // The caller does not wait for the server: a connection that is not rolled back in time is closed there.
-        auto finish = [context = this->context, place = std::move(place), unit = std::move(unit)]() mutable
-            -> net::awaitable<void> {
+        auto finish = [context = this->context,
+                       place = std::move(place),
+                       unit = std::move(unit)]() mutable -> net::awaitable<void> {
             co_await context->runner->continueTransaction(std::move(place), std::move(unit));
         };
         asio::co_spawn(this->context->executor, std::move(finish), asio::detached);
@@ -445,10 +446,8 @@
 
 CallerReply CallerSession::reply(const UnitResult &result, bool writes)
 {
-    CallerReply answer{.rows = result.rows,
-                       .signature = result.signature,
-                       .state = this->state(),
-                       .position = result.position};
+    CallerReply answer{
+        .rows = result.rows, .signature = result.signature, .state = this->state(), .position = result.position};
     switch (result.outcome) {
     case UnitOutcome::Done:
         return answer;
--- a/gateway/daemonlease.cpp
+++ b/gateway/daemonlease.cpp
@@ -76,9 +76,8 @@
     const core::BootTime askedAt = core::BootClock::now();
     const std::uint64_t granted = co_await this->store->grantLease(LeaseLife, CallTimeout);
     std::vector<MetadataChange> changes;
-    changes.push_back({.key = registrationPrefix() + this->options.daemonId,
-                       .value = this->options.registration,
-                       .lease = granted});
+    changes.push_back(
+        {.key = registrationPrefix() + this->options.daemonId, .value = this->options.registration, .lease = granted});
     const MetadataSwap swap = co_await this->store->swap(std::move(changes), CallTimeout);
     if (!swap.applied) {
         co_return;
@@ -115,10 +114,8 @@
     co_await pause.async_wait(UseTuple);
     if (!this->duty && !this->stopped && this->lease != 0) {
         std::vector<MetadataChange> changes;
-        changes.push_back({.key = dutyKey(),
-                           .expectedRevision = 0,
-                           .value = this->options.daemonId,
-                           .lease = this->lease});
+        changes.push_back(
+            {.key = dutyKey(), .expectedRevision = 0, .value = this->options.daemonId, .lease = this->lease});
         try {
             const MetadataSwap swap = co_await this->store->swap(std::move(changes), CallTimeout);
             if (swap.applied) {
--- a/gateway/daemonlease.h
+++ b/gateway/daemonlease.h
@@ -24,8 +24,8 @@
     std::function<void(std::string reason)> onDutyLost;
 };
 
-/// Registers this daemon in the metadata store under a lease, and takes the promotion duty when nobody holds it. Runs on
-/// the control thread.
+/// Registers this daemon in the metadata store under a lease, and takes the promotion duty when nobody holds it. Runs
+/// on the control thread.
 class DaemonLease : public std::enable_shared_from_this<DaemonLease>
 {
 public:
--- a/gateway/gatewaydaemon.cpp
+++ b/gateway/gatewaydaemon.cpp
@@ -116,15 +116,14 @@
     for (const net::TcpEndpoint &seed : deployment.seeds) {
         seeds.push_back(datagramAddress(seed));
     }
-    daemon::GossipServiceOptions options{
-        .gossip = {.id = deployment.daemonId,
-                   .address = datagramAddress(deployment.peerListen),
-                   .dataCentre = deployment.dataCentre,
-                   .region = deployment.region,
-                   .incarnation = daemon::startIncarnation(),
-                   .seed = daemon::startIncarnation(),
-                   .seeds = std::move(seeds)},
-        .listen = {deployment.peerListen.address(), deployment.peerListen.port()}};
+    daemon::GossipServiceOptions options{.gossip = {.id = deployment.daemonId,
+                                                    .address = datagramAddress(deployment.peerListen),
+                                                    .dataCentre = deployment.dataCentre,
+                                                    .region = deployment.region,
+                                                    .incarnation = daemon::startIncarnation(),
+                                                    .seed = daemon::startIncarnation(),
+                                                    .seeds = std::move(seeds)},
+                                         .listen = {deployment.peerListen.address(), deployment.peerListen.port()}};
     daemon::GossipCallbacks callbacks{.onMember = [this](const membership::MemberEvent &event) {
         this->log.line("daemon_changed")
             .field("peer", event.member.id)
@@ -145,22 +144,20 @@
 void GatewayDaemon::startStore()
 {
     const net::Executor executor = this->context.get_executor();
-    this->store
-        = this->adapter.openStore(executor, [this] { return this->adapter.deployment.metadataStore; });
-    MetadataCallbacks callbacks{
-        .onConfiguration = [this](const std::shared_ptr<const Configuration> &) { this->publishView(); },
-        .onServers = [this] { this->applyServers(); },
-        .onOwnItem = [this](const MetadataItem &item) { this->applyOwnItem(item); },
-        .onComplete = [this] { this->lease->onStoreRead(); }};
+    this->store = this->adapter.openStore(executor, [this] { return this->adapter.deployment.metadataStore; });
+    MetadataCallbacks callbacks{.onConfiguration
+                                = [this](const std::shared_ptr<const Configuration> &) { this->publishView(); },
+                                .onServers = [this] { this->applyServers(); },
+                                .onOwnItem = [this](const MetadataItem &item) { this->applyOwnItem(item); },
+                                .onComplete = [this] { this->lease->onStoreRead(); }};
     this->sync
         = std::make_shared<MetadataSync>(executor, this->store, this->adapter.format, std::move(callbacks), this->log);
     const Deployment &deployment = this->adapter.deployment;
     const json::object registration{{"address", datagramAddress(deployment.peerListen)},
                                     {"data_centre", deployment.dataCentre}};
-    DaemonLeaseCallbacks leaseCallbacks{
-        .onContact = [this] { this->renewedAt = core::Clock::now(); },
-        .onElected = [this](std::uint64_t revision) { this->duty->start(revision); },
-        .onDutyLost = [this](const std::string &) { this->duty->stop(); }};
+    DaemonLeaseCallbacks leaseCallbacks{.onContact = [this] { this->renewedAt = core::Clock::now(); },
+                                        .onElected = [this](std::uint64_t revision) { this->duty->start(revision); },
+                                        .onDutyLost = [this](const std::string &) { this->duty->stop(); }};
     this->lease = std::make_shared<DaemonLease>(
         executor,
         this->store,
@@ -171,19 +168,22 @@
         .ask = [this](pooling::WorkUnit unit) { return this->traffic.ask(std::move(unit)); },
         .view = [this] { return this->view; },
         .mayAct = [this] { return this->mayOrderPromotions(); },
-        .onPromoted = [this](const std::string &service, const std::string &server, std::uint64_t fence) {
-            this->applyPromotion(service, server, fence);
-            this->sendReport();
-        },
-        .onDenied = [this](const std::string &service, const std::string &server) {
-            this->primaries.denied(service, server);
-            this->scheduleView();
-        },
-        .onFenced = [this] {
-            if (!this->lease->holdsDuty()) {
-                this->lease->loseDuty("a higher fence was used");
-            }
-        },
+        .onPromoted =
+            [this](const std::string &service, const std::string &server, std::uint64_t fence) {
+                this->applyPromotion(service, server, fence);
+                this->sendReport();
+            },
+        .onDenied =
+            [this](const std::string &service, const std::string &server) {
+                this->primaries.denied(service, server);
+                this->scheduleView();
+            },
+        .onFenced =
+            [this] {
+                if (!this->lease->holdsDuty()) {
+                    this->lease->loseDuty("a higher fence was used");
+                }
+            },
         .readStatus = this->adapter.readStatus};
     std::shared_ptr<PromotionService> orders
         = this->adapter.openPromotions(executor, [this] { return this->adapter.deployment.promotionService; });
@@ -195,8 +195,8 @@
 
 core::Milliseconds GatewayDaemon::storeAge() const
 {
-    const core::TimePoint contact = std::max(this->sync->lastContact().value_or(core::TimePoint()),
-                                             this->renewedAt.value_or(core::TimePoint()));
+    const core::TimePoint contact
+        = std::max(this->sync->lastContact().value_or(core::TimePoint()), this->renewedAt.value_or(core::TimePoint()));
     return std::chrono::duration_cast<core::Milliseconds>(core::Clock::now() - contact);
 }
 
@@ -282,17 +282,15 @@
 {
     std::vector<membership::HomeCandidate> candidates;
     for (const auto &[id, daemon] : next.daemons) {
-        if (!this->leavingDaemons.contains(id)) {
-            candidates.push_back({.id = id,
-                                  .dataCentre = daemon.dataCentre,
-                                  .region = std::string(next.regionOf(daemon.dataCentre))});
+        if (!this->leavingDaemons.contains(id) && !daemon.isSuspect) {
+            candidates.push_back(
+                {.id = id, .dataCentre = daemon.dataCentre, .region = std::string(next.regionOf(daemon.dataCentre))});
         }
     }
     for (const auto &[id, server] : next.servers) {
         next.homes.emplace(
             id,
-            membership::homeOrder(
-                id, server.dataCentre, next.regionOf(server.dataCentre), candidates, HomesPerServer));
+            membership::homeOrder(id, server.dataCentre, next.regionOf(server.dataCentre), candidates, HomesPerServer));
     }
 }
 
@@ -307,8 +305,7 @@
     next.isLeaving = this->leaving;
     next.daemons.emplace(
         deployment.daemonId,
-        PeerDaemon{
-            .id = deployment.daemonId, .endpoint = deployment.peerListen, .dataCentre = deployment.dataCentre});
+        PeerDaemon{.id = deployment.daemonId, .endpoint = deployment.peerListen, .dataCentre = deployment.dataCentre});
     for (const membership::Member &member : this->gossip->membership().members()) {
         if (member.id == deployment.daemonId || !daemon::isLive(member)) {
             continue;
@@ -316,7 +313,8 @@
         next.daemons.emplace(member.id,
                              PeerDaemon{.id = member.id,
                                         .endpoint = net::parseEndpoint(member.address),
-                                        .dataCentre = member.dataCentre});
+                                        .dataCentre = member.dataCentre,
+                                        .isSuspect = member.state == membership::MemberState::Suspect});
     }
     for (const auto &[id, server] : next.servers) {
         if (!next.primaries.contains(server.service)) {
--- a/gateway/gatewayview.h
+++ b/gateway/gatewayview.h
@@ -16,6 +16,7 @@
     std::string id;
     net::TcpEndpoint endpoint;
     std::string dataCentre;
+    bool isSuspect = false; ///< Did not answer lately; it gets no new work.
 };
 
 /// What the control thread believes, as of one moment. Immutable; traffic threads read it without locks.
--- a/gateway/operationrunner.cpp
+++ b/gateway/operationrunner.cpp
@@ -25,6 +25,10 @@
 /// Part of the latency objective for which a statement is held while no server can run it, for example during a change
 /// of primary. Later the caller does better elsewhere.
 constexpr double HoldPart = 0.8;
+/// Part of the latency objective after which a read without an answer is tried at another server.
+constexpr double ReadPatiencePart = 0.4;
+/// Servers that a read is tried at after its answer was lost.
+constexpr int ReadAttempts = 3;
 /// Pause before the next attempt while nothing can run the statement.
 constexpr std::chrono::milliseconds RetryPause{40};
 /// A replica that lacked a position, or a server with a full queue, is passed over for this long by reads.
@@ -155,7 +159,10 @@
     const core::Duration hold = std::min<core::Duration>(
         std::chrono::duration_cast<core::Duration>(context.route.latencyObjective * HoldPart),
         context.route.statementTimeout);
-    const core::TimePoint holdUntil = context.startedAt + hold;
+    const auto readPatience
+        = std::chrono::duration_cast<core::Milliseconds>(context.route.latencyObjective * ReadPatiencePart);
+    core::TimePoint holdUntil = context.startedAt + hold;
+    int lostReads = 0;
     StatementOutcome outcome;
     outcome.result = {.outcome = UnitOutcome::NotRun, .error = UnitError::QueueFull, .errorText = "no server"};
     for (int attempt = 1;; ++attempt) {
@@ -183,6 +190,9 @@
         next.priority = context.route.priority;
         next.queueLimit = std::max(milliseconds(holdUntil - now), std::chrono::milliseconds(1));
         next.statementLimit = context.route.statementTimeout;
+        if (readOnly && lostReads + 1 < ReadAttempts) {
+            next.statementLimit = std::min(next.statementLimit, readPatience);
+        }
         next.idleLimit = context.transactionIdle;
         if (opensTransaction) {
             next.kind = readOnly && !plan->atPrimary ? UnitKind::OpenReadOnly : UnitKind::OpenTransaction;
@@ -207,7 +217,17 @@
             this->penalise(server, QueuePenalty);
             break;
         case UnitError::NoAnswer:
+            // The server is up but this answer is lost; another one may be quicker than the caller's next attempt.
+            this->penalise(server, QueuePenalty);
+            pauseTime = core::Duration::zero();
+            if (++lostReads < ReadAttempts) {
+                holdUntil = std::max(holdUntil, core::Clock::now() + readPatience);
+            }
+            break;
         case UnitError::ConnectionLost:
+            pauseTime = core::Duration::zero();
+            this->penalise(server, LostPenalty);
+            break;
         case UnitError::Unreachable:
             this->penalise(server, LostPenalty);
             break;
--- a/gateway/pooledserver.cpp
+++ b/gateway/pooledserver.cpp
@@ -26,6 +26,9 @@
 constexpr std::chrono::milliseconds ControlTimeout{450};
 /// Units beyond the server's slots that are sent, so that a slot never waits for a round trip.
 constexpr unsigned SendAhead = 1;
+/// A statement that takes longer than this has probably run and lost its answer: its slot is given to another one. The
+/// server queues what comes too early, or says that it is busy.
+constexpr std::chrono::milliseconds SlotPatience{350};
 /// After a failure to connect, units are refused for this long instead of waiting for another attempt each.
 constexpr std::chrono::milliseconds UnreachableHold{150};
 /// After a refusal by the server's connection limit only open connections are used for this long. A server drops the
@@ -83,14 +86,12 @@
     Slot(PooledServer &server, pooling::AdmissionQueue::Admitted unit)
         : server(server.weak_from_this())
         , unit(std::move(unit))
-        , start(core::Clock::now())
     {
     }
 
     Slot(Slot &&other) noexcept
         : server(std::exchange(other.server, {}))
         , unit(other.unit)
-        , start(other.start)
     {
     }
 
@@ -99,14 +100,13 @@
     ~Slot()
     {
         if (const std::shared_ptr<PooledServer> owner = this->server.lock()) {
-            owner->finishSlot(this->unit, core::Clock::now() - this->start);
+            owner->finishSlot(this->unit);
         }
     }
 
 private:
     std::weak_ptr<PooledServer> server;
     pooling::AdmissionQueue::Admitted unit;
-    core::TimePoint start;
 };
 
 PooledServer::PooledServer(PooledServerOptions options)
@@ -239,6 +239,7 @@
             continue;
         }
         ++this->slotsUsed;
+        this->usedSlots.emplace(admitted->ticket, UsedSlot{.since = now});
         ticket->second->admitted = admitted;
         ticket->second->timer.cancel();
         this->tickets.erase(ticket);
@@ -249,13 +250,30 @@
     }
 }
 
-void PooledServer::finishSlot(const pooling::AdmissionQueue::Admitted &unit, core::Duration used)
+void PooledServer::finishSlot(const pooling::AdmissionQueue::Admitted &unit)
 {
-    --this->slotsUsed;
-    this->queue.complete(unit, std::chrono::duration_cast<queueing::Cost>(used));
+    core::Duration used{};
+    const auto slot = this->usedSlots.find(unit.ticket);
+    if (slot != this->usedSlots.end()) {
+        used = core::Clock::now() - slot->second.since;
+        this->slotsUsed -= slot->second.counted ? 1 : 0;
+        this->usedSlots.erase(slot);
+    }
+    this->queue.complete(unit,
+                         std::chrono::duration_cast<queueing::Cost>(std::min<core::Duration>(used, SlotPatience)));
     this->dispatch();
 }
 
+void PooledServer::giveUpSlots(core::TimePoint now)
+{
+    for (auto &[ticket, slot] : this->usedSlots) {
+        if (slot.counted && now >= slot.since + SlotPatience) {
+            slot.counted = false;
+            --this->slotsUsed;
+        }
+    }
+}
+
 net::awaitable<pooling::UnitResult>
 PooledServer::obtainConnection(std::string workspace, bool transaction, std::shared_ptr<Connection> &out)
 {
@@ -604,8 +622,8 @@
 
 void PooledServer::keepOrDrop(const std::shared_ptr<Connection> &connection, bool reusable)
 {
-    const bool keep = reusable && !this->closed && this->book.open() <= this->options.connections
-        && connection->link->isOpen();
+    const bool keep
+        = reusable && !this->closed && this->book.open() <= this->options.connections && connection->link->isOpen();
     if (keep) {
         this->book.release(connection->id, core::Clock::now());
         this->idle.emplace(connection->id, connection);
@@ -634,6 +652,7 @@
         lease = this->leases.erase(lease);
     }
     this->book.tick(now);
+    this->giveUpSlots(now);
     while (const std::optional<pooling::ConnectionId> old = this->book.idleSince(now - IdleConnectionLife)) {
         this->idle.erase(*old);
         this->book.remove(*old);
--- a/gateway/pooledserver.h
+++ b/gateway/pooledserver.h
@@ -92,6 +92,12 @@
     /// A slot in use; returned when it goes out of scope.
     class Slot;
 
+    struct UsedSlot
+    {
+        core::TimePoint since;
+        bool counted = true; ///< False once the slot is no longer expected to be in use at the server.
+    };
+
     using Unit = pooling::WorkUnit;
     using Result = pooling::UnitResult;
 
@@ -109,7 +115,8 @@
     ServerCommand statementCommand(const Connection &connection, const Unit &unit) const;
     void keepOrDrop(const std::shared_ptr<Connection> &connection, bool reusable);
     void dispatch();
-    void finishSlot(const pooling::AdmissionQueue::Admitted &unit, core::Duration used);
+    void finishSlot(const pooling::AdmissionQueue::Admitted &unit);
+    void giveUpSlots(core::TimePoint now);
     void noteAnswer();
     void recordProof(session::LogPosition position, core::BootTime takenAt);
     void attachProof(Result &result) const;
@@ -123,7 +130,8 @@
     std::optional<std::pair<session::LogPosition, core::BootTime>> latestProof;
     pooling::TicketId lastTicket = 0;
     std::uint64_t lastPrepared = 0;
-    unsigned slotsUsed = 0;
+    std::map<pooling::TicketId, UsedSlot> usedSlots; ///< By ticket.
+    unsigned slotsUsed = 0; ///< Counted ones.
     std::optional<core::TimePoint> answeredAt;
     core::TimePoint unreachableUntil;
     PooledServerCounters counts;
--- a/gateway/promotionduty.h
+++ b/gateway/promotionduty.h
@@ -52,7 +52,8 @@
     /// One service under watch; ends when the duty does.
     net::awaitable<void> watchService(std::string service, std::uint64_t term);
     net::awaitable<void> watchServices(std::uint64_t term);
-    net::awaitable<void> replacePrimary(std::string service, std::string former, std::string reason, std::uint64_t term);
+    net::awaitable<void>
+    replacePrimary(std::string service, std::string former, std::string reason, std::uint64_t term);
     net::awaitable<std::vector<failover::PromotionCandidate>> askCandidates(std::string service, std::string former);
     net::awaitable<pooling::UnitResult> ask(pooling::UnitKind kind, std::string server);
     net::awaitable<void> pause(core::Duration time);
--- a/gateway/rategate.cpp
+++ b/gateway/rategate.cpp
@@ -9,6 +9,9 @@
 
 /// Below this burst a share could never start an operation.
 constexpr double MinimumBurst = 1;
+/// Part of the burst that a new bucket holds. A process before this one may have spent the burst just now; the time in
+/// which nothing was served makes up for this part.
+constexpr double InitialPart = 0.5;
 
 }
 
@@ -26,7 +29,7 @@
             continue;
         }
         const auto added = this->buckets.emplace(name, limits::TokenBucket(limits, now)).first;
-        added->second.tryTake(limits.burst, now);
+        added->second.tryTake(limits.burst * (1 - InitialPart), now);
     }
 }
 
--- a/gateway/rategate.h
+++ b/gateway/rategate.h
@@ -17,7 +17,7 @@
 class RateGate
 {
 public:
-    /// Takes over configured rates and this daemon's shares. A workspace starts with an empty bucket: what was spent
+    /// Takes over configured rates and this daemon's shares. A workspace starts with half a bucket: what was spent
     /// before, here or by another daemon, is not known.
     void update(const Configuration &configuration, const RateShares &shares, core::TimePoint now);
 
--- a/gateway/serverlink.h
+++ b/gateway/serverlink.h
@@ -85,7 +85,8 @@
     /// Sends @p commands in one write and returns their replies in order. Stops early, with fewer replies, if the
     /// connection ends or @p timeout passes; the link is closed then.
     virtual net::awaitable<std::vector<ServerReply>> exchange(std::vector<ServerCommand> commands,
-                                                              core::Duration timeout) = 0;
+                                                              core::Duration timeout)
+        = 0;
 
     virtual bool isOpen() const = 0;
     virtual void close() = 0;
--- a/gateway/trafficcore.cpp
+++ b/gateway/trafficcore.cpp
@@ -195,7 +195,7 @@
 
 net::awaitable<std::size_t> TrafficCore::openWork()
 {
-    const auto count = [this]() -> net::awaitable<std::size_t> { 
+    const auto count = [this]() -> net::awaitable<std::size_t> {
         std::size_t leases = 0;
         for (const auto &[server, pool] : this->router.pools()) {
             leases += pool->openTransactions();
--- a/gateway/workrouter.cpp
+++ b/gateway/workrouter.cpp
@@ -27,11 +27,13 @@
 constexpr std::size_t MaximumCandidates = 3;
 /// A daemon that could not reach a server is passed over for this long.
 constexpr std::chrono::milliseconds AvoidanceTime{1'000};
+/// Key under which a daemon is avoided for all servers.
+constexpr std::string_view AllServers = "*";
 /// Time for the way to another daemon and back beyond the limits of the unit itself.
 constexpr std::chrono::milliseconds TransitTime{300};
 /// A peer that accepts no connection within this time is passed over.
 constexpr std::chrono::milliseconds PeerConnectTimeout{400};
-constexpr std::chrono::milliseconds PeerPing{500};
+constexpr std::chrono::milliseconds PeerPing{300};
 /// Share of a server's connections that its home may open. The rest is for a former home whose connections the server
 /// has not dropped yet, and for daemons that go past the home.
 constexpr unsigned HomeConnectionPercent = 72;
@@ -133,8 +135,13 @@
     const bool selfIsHome = homes != this->view->homes.end() && !homes->second.empty() && homes->second.front() == self;
     order.insert(order.begin() + (selfIsHome || order.empty() ? 0 : 1), self);
     const auto isAvoided = [&](const std::string &daemon) {
-        const auto avoided = this->avoidedUntil.find({std::string(server), daemon});
-        return avoided != this->avoidedUntil.end() && now < avoided->second;
+        for (const std::string &scope : {std::string(server), std::string(AllServers)}) {
+            const auto avoided = this->avoidedUntil.find({scope, daemon});
+            if (avoided != this->avoidedUntil.end() && now < avoided->second) {
+                return true;
+            }
+        }
+        return false;
     };
     std::ranges::stable_partition(order, [&](const std::string &daemon) { return !isAvoided(daemon); });
     if (order.size() > MaximumCandidates) {
@@ -249,6 +256,7 @@
             return unitResultFromJson(body);
         });
     } catch (const core::Error &error) {
+        this->avoidedUntil[{std::string(AllServers), daemon}] = core::Clock::now() + AvoidanceTime;
         if (error.outcome == core::Outcome::NotRun) {
             co_return pooling::UnitResult{
                 .outcome = UnitOutcome::NotRun, .error = UnitError::Unreachable, .errorText = error.message};
--- a/limits/demandshares.cpp
+++ b/limits/demandshares.cpp
@@ -61,8 +61,8 @@
 
 bool DemandShares::isEntitled(core::TimePoint now) const
 {
-    const core::TimePoint heard = std::max(this->heardAt.value_or(core::TimePoint::min()),
-                                           this->leasesReadAt.value_or(core::TimePoint::min()));
+    const core::TimePoint heard
+        = std::max(this->heardAt.value_or(core::TimePoint::min()), this->leasesReadAt.value_or(core::TimePoint::min()));
     return now < std::max(heard, this->startedAt) + this->options.entitlement;
 }
 
--- a/pooling/admissionqueue.cpp
+++ b/pooling/admissionqueue.cpp
@@ -23,10 +23,8 @@
     this->transactions.setSlots(slots);
 }
 
-queueing::PushResult AdmissionQueue::push(TicketId ticket,
-                                          UnitNeed need,
-                                          const queueing::QueueTicket &request,
-                                          core::TimePoint now)
+queueing::PushResult
+AdmissionQueue::push(TicketId ticket, UnitNeed need, const queueing::QueueTicket &request, core::TimePoint now)
 {
     if (need == UnitNeed::Slot) {
         this->continued.push_back({.ticket = ticket, .deadline = request.deadline, .queuedAt = now});
@@ -42,7 +40,8 @@
     if (!dispatched) {
         return std::nullopt;
     }
-    return Admitted{.ticket = dispatched->item, .need = need, .charge = dispatched->charge, .waited = dispatched->waited};
+    return Admitted{
+        .ticket = dispatched->item, .need = need, .charge = dispatched->charge, .waited = dispatched->waited};
 }
 
 std::optional<AdmissionQueue::Admitted> AdmissionQueue::next(const FreeResources &free, core::TimePoint now)
--- a/pooling/admissionqueue.h
+++ b/pooling/admissionqueue.h
@@ -41,10 +41,8 @@
 
     void setSlots(unsigned slots);
 
-    queueing::PushResult push(TicketId ticket,
-                              UnitNeed need,
-                              const queueing::QueueTicket &request,
-                              core::TimePoint now);
+    queueing::PushResult
+    push(TicketId ticket, UnitNeed need, const queueing::QueueTicket &request, core::TimePoint now);
 
     /// Next unit that the free resources allow to run.
     std::optional<Admitted> next(const FreeResources &free, core::TimePoint now);
--- a/session/freshnessproofs.cpp
+++ b/session/freshnessproofs.cpp
@@ -40,8 +40,8 @@
 
 std::optional<LogPosition> FreshnessProofs::within(core::Duration maximumAge, core::BootTime now) const
 {
-    const auto admissible = std::ranges::find_if(
-        this->proofs, [&](const Proof &proof) { return proof.takenAt + maximumAge >= now; });
+    const auto admissible
+        = std::ranges::find_if(this->proofs, [&](const Proof &proof) { return proof.takenAt + maximumAge >= now; });
     if (admissible == this->proofs.end()) {
         return std::nullopt;
     }
