Give back unused operations of a rate, start with a full bucket, know shares from the first moment

Cause: an operation that no server ran used up its workspace's rate, and its retries then were refused as over rate; after a start the shares were zero until the first report; slots of slow statements were given up although the server worked through its queue in order.

--- a/gateway/callersession.cpp
+++ b/gateway/callersession.cpp
@@ -235,6 +235,14 @@
     }
 }
 
+void CallerSession::settleRate(const std::string &workspace, const UnitResult &result)
+{
+    const bool neverRan = result.error != UnitError::NoAnswer && result.error != UnitError::ConnectionLost;
+    if (result.outcome == UnitOutcome::NotRun && neverRan) {
+        this->context->rates->giveBack(workspace);
+    }
+}
+
 net::awaitable<CallerReply> CallerSession::runStatement(Statement statement)
 {
     bool writes = statement.kind == StatementKind::Write;
@@ -264,8 +272,10 @@
     operation.sessionPosition = this->position;
     operation.startedAt = this->receivedAt;
     unit.kind = writes ? UnitKind::Write : UnitKind::ReplicaRead;
+    const std::string workspace = operation.workspace;
     const StatementOutcome outcome
         = co_await this->context->runner->run(std::move(operation), std::move(unit), !writes);
+    this->settleRate(workspace, outcome.result);
     if (writes && outcome.result.outcome == UnitOutcome::Done) {
         this->position = session::laterOf(this->position, outcome.result.position);
     }
@@ -305,6 +315,7 @@
         outcome = co_await this->context->runner->run(std::move(operation), std::move(unit), open.readOnly);
         open.lease = outcome.result.lease;
         open.place = outcome.place;
+        this->settleRate(open.context.workspace, outcome.result);
     } else {
         WorkUnit next = this->transactionUnit(UnitKind::InTransaction, std::move(unit.id));
         next.text = std::move(unit.text);
@@ -472,9 +483,14 @@
     }
     const std::uint64_t version
         = this->context->view->configuration == nullptr ? 0 : this->context->view->configuration->version;
+    OperationContext access;
+    const std::optional<CallerError> denied = this->checkAccess(access);
     this->context->log->line("statement_refused", telemetry::LogLevel::Warning)
         .field("request", request)
         .field("database", this->database)
+        .field("workspace", denied ? std::string_view("-") : std::string_view(access.workspace))
+        .field("rate_tokens", denied ? 0 : this->context->rates->tokens(access.workspace, core::Clock::now()))
+        .field("rate_share", denied ? 0 : this->context->rates->share(access.workspace))
         .field("error", static_cast<int>(*answered.error))
         .field("detail", answered.errorText)
         .field("configuration_version", version)
--- a/gateway/gatewaydaemon.cpp
+++ b/gateway/gatewaydaemon.cpp
@@ -353,8 +353,9 @@
         const core::TimePoint now = core::Clock::now();
         const double seconds = std::chrono::duration<double>(now - previous).count();
         previous = now;
+        // The first demand after a start counts in full: callers of a stopped daemon all come back at once.
         for (const auto &[workspace, count] : wanted) {
-            this->demand.try_emplace(workspace, 0);
+            this->demand.try_emplace(workspace, static_cast<double>(count) / seconds);
         }
         for (auto &[workspace, rate] : this->demand) {
             const auto found = wanted.find(workspace);
--- a/gateway/pooledserver.cpp
+++ b/gateway/pooledserver.cpp
@@ -29,6 +29,8 @@
 /// A statement that takes longer than this has probably run and lost its answer: its slot is given to another one. The
 /// server queues what comes too early, or says that it is busy.
 constexpr std::chrono::milliseconds SlotPatience{350};
+/// Units that must have finished after the start of one that counts as lost, per slot.
+constexpr unsigned OvertakenRounds = 3;
 /// After a failure to connect, units are refused for this long instead of waiting for another attempt each.
 constexpr std::chrono::milliseconds UnreachableHold{150};
 /// After a refusal by the server's connection limit only open connections are used for this long. A server drops the
@@ -239,7 +241,7 @@
             continue;
         }
         ++this->slotsUsed;
-        this->usedSlots.emplace(admitted->ticket, UsedSlot{.since = now});
+        this->usedSlots.emplace(admitted->ticket, UsedSlot{.since = now, .finishedBefore = this->finishedUnits});
         ticket->second->admitted = admitted;
         ticket->second->timer.cancel();
         this->tickets.erase(ticket);
@@ -259,6 +261,7 @@
         this->slotsUsed -= slot->second.counted ? 1 : 0;
         this->usedSlots.erase(slot);
     }
+    ++this->finishedUnits;
     this->queue.complete(unit,
                          std::chrono::duration_cast<queueing::Cost>(std::min<core::Duration>(used, SlotPatience)));
     this->dispatch();
@@ -266,8 +269,11 @@
 
 void PooledServer::giveUpSlots(core::TimePoint now)
 {
+    // A server that is merely slow answers in order; only one that has gone on to later units has finished this one.
+    const std::uint64_t overtaken = static_cast<std::uint64_t>(OvertakenRounds) * this->options.server.slots;
     for (auto &[ticket, slot] : this->usedSlots) {
-        if (slot.counted && now >= slot.since + SlotPatience) {
+        const bool isOvertaken = this->finishedUnits >= slot.finishedBefore + overtaken;
+        if (slot.counted && isOvertaken && now >= slot.since + SlotPatience) {
             slot.counted = false;
             --this->slotsUsed;
         }
--- a/gateway/pooledserver.h
+++ b/gateway/pooledserver.h
@@ -95,6 +95,7 @@
     struct UsedSlot
     {
         core::TimePoint since;
+        std::uint64_t finishedBefore = 0; ///< Units that had finished when this one started.
         bool counted = true; ///< False once the slot is no longer expected to be in use at the server.
     };
 
@@ -131,6 +132,7 @@
     pooling::TicketId lastTicket = 0;
     std::uint64_t lastPrepared = 0;
     std::map<pooling::TicketId, UsedSlot> usedSlots; ///< By ticket.
+    std::uint64_t finishedUnits = 0;
     unsigned slotsUsed = 0; ///< Counted ones.
     std::optional<core::TimePoint> answeredAt;
     core::TimePoint unreachableUntil;
--- a/gateway/rategate.cpp
+++ b/gateway/rategate.cpp
@@ -9,14 +9,12 @@
 
 /// Below this burst a share could never start an operation.
 constexpr double MinimumBurst = 1;
-/// Part of the burst that a new bucket holds. A process before this one may have spent the burst just now; the time in
-/// which nothing was served makes up for this part.
-constexpr double InitialPart = 0.5;
 
 }
 
 void RateGate::update(const Configuration &configuration, const RateShares &shares, core::TimePoint now)
 {
+    this->currentShares = shares;
     std::erase_if(this->buckets, [&](const auto &entry) { return !configuration.workspaces.contains(entry.first); });
     for (const auto &[name, workspace] : configuration.workspaces) {
         const auto found = shares.find(name);
@@ -28,8 +26,7 @@
             bucket->second.setLimits(limits, now);
             continue;
         }
-        const auto added = this->buckets.emplace(name, limits::TokenBucket(limits, now)).first;
-        added->second.tryTake(limits.burst * (1 - InitialPart), now);
+        this->buckets.emplace(name, limits::TokenBucket(limits, now));
     }
 }
 
@@ -44,12 +41,32 @@
     return bucket != this->buckets.end() && bucket->second.tryTake(1, now);
 }
 
+void RateGate::giveBack(std::string_view workspace)
+{
+    const auto bucket = this->buckets.find(workspace);
+    if (bucket != this->buckets.end()) {
+        bucket->second.giveBack(1);
+    }
+}
+
 core::Duration RateGate::timeUntilNext(std::string_view workspace, core::TimePoint now)
 {
     const auto bucket = this->buckets.find(workspace);
     return bucket == this->buckets.end() ? core::Duration::max() : bucket->second.timeUntil(1, now);
 }
 
+double RateGate::tokens(std::string_view workspace, core::TimePoint now)
+{
+    const auto bucket = this->buckets.find(workspace);
+    return bucket == this->buckets.end() ? 0 : bucket->second.level(now);
+}
+
+double RateGate::share(std::string_view workspace) const
+{
+    const auto found = this->currentShares.find(workspace);
+    return found == this->currentShares.end() ? 0 : found->second;
+}
+
 std::map<std::string, std::uint64_t, std::less<>> RateGate::takeDemand()
 {
     return std::exchange(this->wanted, {});
--- a/limits/tokenbucket.cpp
+++ b/limits/tokenbucket.cpp
@@ -21,6 +21,11 @@
     return true;
 }
 
+void TokenBucket::giveBack(double returned)
+{
+    this->tokens = std::min(this->limits.burst, this->tokens + returned);
+}
+
 core::Duration TokenBucket::timeUntil(double wanted, core::TimePoint now)
 {
     this->refill(now);
--- a/limits/tokenbucket.h
+++ b/limits/tokenbucket.h
@@ -23,6 +23,9 @@
     /// Takes @p tokens if all of them are there.
     bool tryTake(double tokens, core::TimePoint now);
 
+    /// Returns @p tokens that were taken and not used; those above the burst are dropped.
+    void giveBack(double tokens);
+
     /// Time until @p tokens are there; Duration::max() if the bucket never holds so many.
     core::Duration timeUntil(double tokens, core::TimePoint now);
 
