--- a/gateway/daemonlease.cpp
+++ b/gateway/daemonlease.cpp
@@ -18,9 +18,13 @@
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 
-/// Life of a lease. A dead holder of the duty is replaced after it.
-constexpr std::chrono::milliseconds LeaseLife{2'400};
-constexpr std::chrono::milliseconds RenewalInterval{800};
+/// Life of the lease of a daemon's registration. A fleet pays for each renewal of each daemon.
+constexpr std::chrono::milliseconds RegistrationLife{8'000};
+constexpr std::chrono::milliseconds RegistrationRenewal{2'400};
+/// Life of the lease of the duty. A dead holder is replaced after it.
+constexpr std::chrono::milliseconds DutyLife{2'400};
+constexpr std::chrono::milliseconds DutyRenewal{800};
+constexpr std::chrono::milliseconds ElectionRetry{800};
 constexpr std::chrono::milliseconds CallTimeout{700};
 /// Candidates for a free duty wait up to this long, so that mostly one of them asks the store.
 constexpr unsigned ElectionSpreadMs = 250;
@@ -51,55 +55,67 @@
 }
 
 net::awaitable<void> DaemonLease::run()
+{
+    const std::shared_ptr<DaemonLease> self = this->shared_from_this();
+    asio::co_spawn(this->executor, this->keepRegistration(), asio::detached);
+    while (!this->stopped) {
+        if (this->electionRevision != 0) {
+            co_await this->renewDuty();
+        } else if (this->dutyKnown && !this->duty) {
+            co_await this->seekDuty();
+        }
+        asio::steady_timer pause(this->executor, this->electionRevision != 0 ? DutyRenewal : ElectionRetry);
+        co_await pause.async_wait(UseTuple);
+    }
+}
+
+net::awaitable<void> DaemonLease::keepRegistration()
 {
     const std::shared_ptr<DaemonLease> self = this->shared_from_this();
     while (!this->stopped) {
         try {
-            if (this->lease == 0) {
-                co_await this->obtain();
-            } else {
-                co_await this->renew();
+            const bool renewed
+                = this->registration != 0 && co_await this->store->renewLease(this->registration, CallTimeout);
+            if (!renewed) {
+                this->registration = 0;
+                co_await this->registerDaemon();
             }
+            this->callbacks.onContact();
         } catch (const core::Error &error) {
             this->log.line("lease_not_renewed", telemetry::LogLevel::Warning).field("reason", error.message);
         }
-        if (!this->stopped && this->lease != 0 && this->dutyKnown && !this->duty) {
-            asio::co_spawn(this->executor, this->seekDuty(), asio::detached);
-        }
-        asio::steady_timer pause(this->executor, RenewalInterval);
+        const bool registered = this->registration != 0;
+        asio::steady_timer pause(this->executor, registered ? RegistrationRenewal : ElectionRetry);
         co_await pause.async_wait(UseTuple);
     }
 }
 
-net::awaitable<void> DaemonLease::obtain()
+net::awaitable<void> DaemonLease::registerDaemon()
 {
-    const core::BootTime askedAt = core::BootClock::now();
-    const std::uint64_t granted = co_await this->store->grantLease(LeaseLife, CallTimeout);
+    const std::uint64_t granted = co_await this->store->grantLease(RegistrationLife, CallTimeout);
     std::vector<MetadataChange> changes;
     changes.push_back(
         {.key = registrationPrefix() + this->options.daemonId, .value = this->options.registration, .lease = granted});
     const MetadataSwap swap = co_await this->store->swap(std::move(changes), CallTimeout);
-    if (!swap.applied) {
-        co_return;
+    if (swap.applied) {
+        this->registration = granted;
     }
-    this->lease = granted;
-    this->leaseUntil = askedAt + LeaseLife;
-    this->callbacks.onContact();
 }
 
-net::awaitable<void> DaemonLease::renew()
+net::awaitable<void> DaemonLease::renewDuty()
 {
     const core::BootTime askedAt = core::BootClock::now();
-    const bool renewed = co_await this->store->renewLease(this->lease, CallTimeout);
-    if (renewed) {
-        this->leaseUntil = askedAt + LeaseLife;
-        this->callbacks.onContact();
-        co_return;
+    try {
+        const bool renewed = co_await this->store->renewLease(this->dutyLease, CallTimeout);
+        if (renewed) {
+            this->dutyUntil = askedAt + DutyLife;
+            this->callbacks.onContact();
+        } else {
+            this->loseDuty("lease ended");
+        }
+    } catch (const core::Error &error) {
+        this->log.line("duty_not_renewed", telemetry::LogLevel::Warning).field("reason", error.message);
     }
-    this->log.line("lease_ended", telemetry::LogLevel::Warning);
-    this->lease = 0;
-    this->loseDuty("lease ended");
-    co_await this->obtain();
 }
 
 net::awaitable<void> DaemonLease::seekDuty()
@@ -112,23 +128,39 @@
     const auto wait = std::chrono::milliseconds(core::stableHash(core::randomHex(4)) % ElectionSpreadMs);
     asio::steady_timer pause(this->executor, wait);
     co_await pause.async_wait(UseTuple);
-    if (!this->duty && !this->stopped && this->lease != 0) {
+    if (!this->duty && !this->stopped) {
+        co_await this->runForDuty();
+    }
+    this->seeking = false;
+}
+
+net::awaitable<void> DaemonLease::runForDuty()
+{
+    try {
+        const core::BootTime askedAt = core::BootClock::now();
+        this->dutyLease = co_await this->store->grantLease(DutyLife, CallTimeout);
         std::vector<MetadataChange> changes;
         changes.push_back(
-            {.key = dutyKey(), .expectedRevision = 0, .value = this->options.daemonId, .lease = this->lease});
-        try {
-            const MetadataSwap swap = co_await this->store->swap(std::move(changes), CallTimeout);
-            if (swap.applied) {
-                this->electionRevision = swap.revision;
-                this->log.line("duty_taken").field("revision", swap.revision);
-                this->callbacks.onElected(swap.revision);
-            }
-        } catch (const core::Error &error) {
-            // The election may have taken place; the watch tells.
-            this->log.line("election_failed", telemetry::LogLevel::Warning).field("reason", error.message);
+            {.key = dutyKey(), .expectedRevision = 0, .value = this->options.daemonId, .lease = this->dutyLease});
+        const MetadataSwap swap = co_await this->store->swap(std::move(changes), CallTimeout);
+        if (swap.applied) {
+            this->takeDuty(swap.revision, askedAt + DutyLife);
         }
+    } catch (const core::Error &error) {
+        // The election may have taken place; the watch tells.
+        this->log.line("election_failed", telemetry::LogLevel::Warning).field("reason", error.message);
     }
-    this->seeking = false;
+}
+
+void DaemonLease::takeDuty(std::uint64_t revision, core::BootTime until)
+{
+    if (this->electionRevision != 0 || this->stopped) {
+        return;
+    }
+    this->electionRevision = revision;
+    this->dutyUntil = until;
+    this->log.line("duty_taken").field("revision", revision);
+    this->callbacks.onElected(revision);
 }
 
 void DaemonLease::onDutyItem(const MetadataItem &item)
@@ -140,19 +172,18 @@
         }
         this->duty.reset();
         this->loseDuty("duty key removed");
-        if (this->lease != 0 && !this->stopped) {
+        if (!this->stopped) {
             asio::co_spawn(this->executor, this->seekDuty(), asio::detached);
         }
         return;
     }
     this->duty = item;
-    if (this->electionRevision != 0 && item.revision > this->electionRevision && item.lease != this->lease) {
+    const bool isOwn = this->dutyLease != 0 && item.lease == this->dutyLease;
+    if (isOwn) {
+        // The answer to the election may have been lost; the time of the lease is then not known until its renewal.
+        this->takeDuty(item.revision, core::BootTime());
+    } else if (this->electionRevision != 0 && item.revision > this->electionRevision) {
         this->loseDuty("another holder was elected");
-    } else if (this->electionRevision == 0 && this->lease != 0 && item.lease == this->lease) {
-        // The answer to the election was lost.
-        this->electionRevision = item.revision;
-        this->log.line("duty_taken").field("revision", item.revision);
-        this->callbacks.onElected(item.revision);
     }
 }
 
@@ -163,7 +194,7 @@
 
 bool DaemonLease::holdsDuty() const
 {
-    return this->electionRevision != 0 && core::BootClock::now() < this->leaseUntil;
+    return this->electionRevision != 0 && core::BootClock::now() < this->dutyUntil;
 }
 
 bool DaemonLease::wasElected() const
@@ -185,15 +216,17 @@
 {
     const std::shared_ptr<DaemonLease> self = this->shared_from_this();
     this->stopped = true;
-    const std::uint64_t ended = std::exchange(this->lease, 0);
+    const std::vector<std::uint64_t> ended{std::exchange(this->dutyLease, 0), std::exchange(this->registration, 0)};
     this->loseDuty("stopping");
-    if (ended == 0) {
-        co_return;
-    }
-    try {
-        co_await this->store->endLease(ended, CallTimeout);
-    } catch (const core::Error &error) {
-        this->log.line("lease_not_ended", telemetry::LogLevel::Warning).field("reason", error.message);
+    for (const std::uint64_t lease : ended) {
+        if (lease == 0) {
+            continue;
+        }
+        try {
+            co_await this->store->endLease(lease, CallTimeout);
+        } catch (const core::Error &error) {
+            this->log.line("lease_not_ended", telemetry::LogLevel::Warning).field("reason", error.message);
+        }
     }
 }
 
--- a/gateway/daemonlease.h
+++ b/gateway/daemonlease.h
@@ -60,17 +60,21 @@
     static std::string registrationPrefix();
 
 private:
-    net::awaitable<void> renew();
-    net::awaitable<void> obtain();
+    net::awaitable<void> keepRegistration();
+    net::awaitable<void> registerDaemon();
+    net::awaitable<void> renewDuty();
     net::awaitable<void> seekDuty();
+    net::awaitable<void> runForDuty();
+    void takeDuty(std::uint64_t revision, core::BootTime until);
 
     net::Executor executor;
     std::shared_ptr<MetadataStore> store;
     DaemonLeaseOptions options;
     DaemonLeaseCallbacks callbacks;
     telemetry::DecisionLog &log;
-    std::uint64_t lease = 0;
-    core::BootTime leaseUntil;
+    std::uint64_t registration = 0; ///< Lease of the registration.
+    std::uint64_t dutyLease = 0;
+    core::BootTime dutyUntil;
     std::optional<MetadataItem> duty; ///< Key of the duty, as last seen.
     bool dutyKnown = false; ///< The store has said whether the key exists.
     std::uint64_t electionRevision = 0; ///< 0 if not elected.
--- a/gateway/daemonreport.cpp
+++ b/gateway/daemonreport.cpp
@@ -2,6 +2,7 @@
 
 #include "core/json.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace endiveshore::gateway {
@@ -33,8 +34,12 @@
                         {"d", std::move(demand)},
                         {"v", report.configurationVersion},
                         {"s", report.storeAge.count()}};
-    if (report.isLeaving) {
-        object.emplace("l", true);
+    if (!report.dataCentre.empty()) {
+        object.emplace("z", report.dataCentre);
+        object.emplace("n", report.daemons);
+    }
+    if (!report.leaving.empty()) {
+        object.emplace("l", json::value_from(report.leaving));
     }
     if (!promotions.empty()) {
         object.emplace("p", std::move(promotions));
@@ -61,7 +66,14 @@
     }
     report.configurationVersion = static_cast<std::uint64_t>(core::jsonInteger(object, "v"));
     report.storeAge = core::Milliseconds(core::jsonInteger(object, "s"));
-    report.isLeaving = core::jsonBool(object, "l");
+    report.dataCentre = core::jsonString(object, "z");
+    report.daemons = static_cast<std::size_t>(std::max<std::int64_t>(1, core::jsonInteger(object, "n", 1)));
+    const json::array *const leaving = core::jsonArray(object, "l");
+    for (const json::value &daemon : leaving == nullptr ? json::array() : *leaving) {
+        if (daemon.is_string()) {
+            report.leaving.emplace(daemon.as_string());
+        }
+    }
     if (const json::object *const promotions = core::jsonObject(object, "p")) {
         for (const auto &entry : *promotions) {
             const json::array *const pair = entry.value().if_array();
--- a/gateway/daemonreport.h
+++ b/gateway/daemonreport.h
@@ -8,18 +8,23 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 namespace endiveshore::gateway {
 
-/// What a daemon tells all others several times a second, in one datagram.
+/// What a daemon tells the others of its data centre several times a second, in one datagram. The delegate of each data
+/// centre sends the sum to the delegates of the others, who pass it on, so the narrow links carry one report per data
+/// centre and not one per pair of daemons.
 struct DaemonReport
 {
-    std::string daemon;
+    std::string daemon; ///< That has made the report.
+    std::string dataCentre; ///< Set if the report is the sum of a data centre.
+    std::size_t daemons = 1; ///< That the demand is the sum of.
     limits::Demand demand; ///< Operations per second by workspace.
     std::uint64_t configurationVersion = 0;
     core::Milliseconds storeAge{}; ///< Since the metadata store answered last.
-    bool isLeaving = false;
+    std::set<std::string, std::less<>> leaving; ///< Daemons that are stopping.
     std::map<std::string, failover::PrimaryTracker::Promotion, std::less<>> promotions; ///< By service.
 };
 
--- a/gateway/gatewaydaemon.cpp
+++ b/gateway/gatewaydaemon.cpp
@@ -24,12 +24,18 @@
 
 constexpr std::chrono::milliseconds TickInterval{100};
 constexpr std::chrono::milliseconds ReportInterval{250};
+/// A daemon whose report is older is left out of the sum of its data centre.
+constexpr std::chrono::milliseconds LocalReportLife{2'500};
 /// Weight of the newest report interval in the average demand.
 constexpr double DemandWeight = 0.3;
 constexpr std::chrono::milliseconds SettingsInterval{1'000};
 constexpr std::chrono::milliseconds ConfigurationTimeout{1'500};
 /// Another daemon's contact with the store within this time shows that the store is not away for everybody.
-constexpr std::chrono::milliseconds StoreContactAge{2'500};
+constexpr std::chrono::milliseconds StoreContactAge{3'200};
+/// A store that has answered within this time, one renewal and its answer, is in contact.
+constexpr std::chrono::milliseconds LeaseRenewalAge{2'900};
+/// Daemons with at least this part of the largest processor share of their data centre are homes; weaker ones relay.
+constexpr double HomeProcessorPart = 0.5;
 /// Daemons in the order of homes of a server: the home and those that are tried when it cannot reach the server.
 constexpr std::size_t HomesPerServer = 4;
 /// The balancer takes a daemon out after two missed questions, one second apart.
@@ -154,7 +160,8 @@
         = std::make_shared<MetadataSync>(executor, this->store, this->adapter.format, std::move(callbacks), this->log);
     const Deployment &deployment = this->adapter.deployment;
     const json::object registration{{"address", datagramAddress(deployment.peerListen)},
-                                    {"data_centre", deployment.dataCentre}};
+                                    {"data_centre", deployment.dataCentre},
+                                    {"processor_share", deployment.processorShare}};
     DaemonLeaseCallbacks leaseCallbacks{.onContact = [this] { this->renewedAt = core::Clock::now(); },
                                         .onElected = [this](std::uint64_t revision) { this->duty->start(revision); },
                                         .onDutyLost = [this](const std::string &) { this->duty->stop(); }};
@@ -231,17 +238,23 @@
         this->registered.erase(id);
         return;
     }
-    this->registered.insert_or_assign(id, true);
+    boost::system::error_code error;
+    const json::value value = json::parse(item.value, error);
+    if (error || !value.is_object()) {
+        return;
+    }
+    const json::object &entry = value.as_object();
+    this->registered.insert_or_assign(id,
+                                      Registration{.address = core::jsonString(entry, "address"),
+                                                   .dataCentre = core::jsonString(entry, "data_centre")});
+    this->processorShares[id] = core::jsonNumber(entry, "processor_share");
     std::vector<std::string> seeds;
     for (const net::TcpEndpoint &seed : this->adapter.deployment.seeds) {
         seeds.push_back(datagramAddress(seed));
     }
-    boost::system::error_code error;
-    const json::value value = json::parse(item.value, error);
-    if (!error && value.is_object()) {
-        seeds.push_back(core::jsonString(value.as_object(), "address"));
-    }
+    seeds.push_back(core::jsonString(entry, "address"));
     this->gossip->setSeeds(std::move(seeds));
+    this->scheduleView();
 }
 
 void GatewayDaemon::applyServers()
@@ -280,9 +293,15 @@
 
 void GatewayDaemon::addHomes(GatewayView &next) const
 {
+    std::map<std::string_view, double> largestShare;
+    for (const auto &[id, daemon] : next.daemons) {
+        double &largest = largestShare[daemon.dataCentre];
+        largest = std::max(largest, daemon.processorShare);
+    }
     std::vector<membership::HomeCandidate> candidates;
     for (const auto &[id, daemon] : next.daemons) {
-        if (!this->leavingDaemons.contains(id) && !daemon.isSuspect) {
+        const bool isStrong = daemon.processorShare >= HomeProcessorPart * largestShare[daemon.dataCentre];
+        if (isStrong && !this->leavingDaemons.contains(id) && !daemon.isSuspect) {
             candidates.push_back(
                 {.id = id, .dataCentre = daemon.dataCentre, .region = std::string(next.regionOf(daemon.dataCentre))});
         }
@@ -303,17 +322,21 @@
     next.regionOfDataCentre = deployment.regionOfDataCentre;
     next.self = deployment.daemonId;
     next.isLeaving = this->leaving;
-    next.daemons.emplace(
-        deployment.daemonId,
-        PeerDaemon{.id = deployment.daemonId, .endpoint = deployment.peerListen, .dataCentre = deployment.dataCentre});
+    next.daemons.emplace(deployment.daemonId,
+                         PeerDaemon{.id = deployment.daemonId,
+                                    .endpoint = deployment.peerListen,
+                                    .dataCentre = deployment.dataCentre,
+                                    .processorShare = deployment.processorShare});
     for (const membership::Member &member : this->gossip->membership().members()) {
         if (member.id == deployment.daemonId || !daemon::isLive(member)) {
             continue;
         }
+        const auto share = this->processorShares.find(member.id);
         next.daemons.emplace(member.id,
                              PeerDaemon{.id = member.id,
                                         .endpoint = net::parseEndpoint(member.address),
                                         .dataCentre = member.dataCentre,
+                                        .processorShare = share == this->processorShares.end() ? 0 : share->second,
                                         .isSuspect = member.state == membership::MemberState::Suspect});
     }
     for (const auto &[id, server] : next.servers) {
@@ -324,6 +347,7 @@
             }
         }
     }
+    this->sync->setWatchers(next.daemons.size());
     this->addHomes(next);
     if (next.configuration != nullptr) {
         this->gossip->setConfigRevision(next.configuration->version, false);
@@ -372,8 +396,13 @@
     const core::TimePoint now = core::Clock::now();
     this->shares.setOwnDemand(this->demand);
     const core::Milliseconds age = this->storeAge();
-    if (age < ReportInterval * 2) {
-        this->shares.setLeaseHolders(this->registered, now);
+    if (age < LeaseRenewalAge) {
+        std::map<std::string, std::size_t, std::less<>> holders;
+        for (const auto &[id, registration] : this->registered) {
+            const bool isLocal = registration.dataCentre == this->adapter.deployment.dataCentre;
+            ++holders[isLocal ? id : registration.dataCentre];
+        }
+        this->shares.setLeaseHolders(std::move(holders), now);
     }
     const std::shared_ptr<const Configuration> configuration = this->sync->configuration();
     if (configuration == nullptr) {
@@ -386,21 +415,108 @@
     this->traffic.publishShares(std::move(next));
 }
 
-void GatewayDaemon::sendReport()
+DaemonReport GatewayDaemon::ownReport() const
 {
     const std::shared_ptr<const Configuration> configuration = this->sync->configuration();
-    const DaemonReport report{.daemon = this->adapter.deployment.daemonId,
-                              .demand = this->demand,
-                              .configurationVersion = configuration == nullptr ? 0 : configuration->version,
-                              .storeAge = this->storeAge(),
-                              .isLeaving = this->leaving,
-                              .promotions = this->primaries.promotions()};
+    const std::string &self = this->adapter.deployment.daemonId;
+    return {.daemon = self,
+            .demand = this->demand,
+            .configurationVersion = configuration == nullptr ? 0 : configuration->version,
+            .storeAge = this->storeAge(),
+            .leaving = this->leaving ? std::set<std::string, std::less<>>{self} : std::set<std::string, std::less<>>(),
+            .promotions = this->primaries.promotions()};
+}
+
+DaemonReport GatewayDaemon::dataCentreReport() const
+{
+    DaemonReport sum = this->ownReport();
+    sum.dataCentre = this->adapter.deployment.dataCentre;
+    const core::TimePoint now = core::Clock::now();
+    for (const auto &[daemon, report] : this->localReports) {
+        const auto reported = this->reportedAt.find(daemon);
+        if (reported == this->reportedAt.end() || now - reported->second > LocalReportLife) {
+            continue;
+        }
+        ++sum.daemons;
+        sum.leaving.insert(report.leaving.begin(), report.leaving.end());
+        sum.storeAge = std::min(sum.storeAge, report.storeAge);
+        for (const auto &[workspace, rate] : report.demand) {
+            sum.demand[workspace] += rate;
+        }
+    }
+    return sum;
+}
+
+std::string GatewayDaemon::delegateOf(std::string_view dataCentre) const
+{
+    // Strong daemons come first in every order of homes, so they carry the reports as well.
+    const auto isBetter = [this](const PeerDaemon &left, const PeerDaemon &right) {
+        return left.processorShare != right.processorShare ? left.processorShare > right.processorShare
+                                                           : left.id < right.id;
+    };
+    const PeerDaemon *best = nullptr;
+    for (const auto &[id, daemon] : this->view->daemons) {
+        if (daemon.dataCentre != dataCentre || daemon.isSuspect || this->leavingDaemons.contains(id)) {
+            continue;
+        }
+        if (best == nullptr || isBetter(daemon, *best)) {
+            best = &daemon;
+        }
+    }
+    return best == nullptr ? std::string() : best->id;
+}
+
+std::vector<const PeerDaemon *> GatewayDaemon::colleagues() const
+{
+    std::vector<const PeerDaemon *> found;
+    for (const auto &[id, daemon] : this->view->daemons) {
+        if (id != this->adapter.deployment.daemonId && daemon.dataCentre == this->adapter.deployment.dataCentre) {
+            found.push_back(&daemon);
+        }
+    }
+    return found;
+}
+
+std::vector<const PeerDaemon *> GatewayDaemon::otherDelegates() const
+{
+    std::vector<const PeerDaemon *> found;
+    for (const auto &[dataCentre, region] : this->adapter.deployment.regionOfDataCentre) {
+        if (dataCentre == this->adapter.deployment.dataCentre) {
+            continue;
+        }
+        const auto daemon = this->view->daemons.find(this->delegateOf(dataCentre));
+        if (daemon != this->view->daemons.end()) {
+            found.push_back(&daemon->second);
+        }
+    }
+    return found;
+}
+
+void GatewayDaemon::sendTo(const std::vector<const PeerDaemon *> &receivers, const DaemonReport &report)
+{
     const std::string payload = json::serialize(toJson(report));
     const std::uint16_t port = this->adapter.deployment.reportListen.port();
-    for (const auto &[id, peer] : this->view->daemons) {
-        if (id != this->adapter.deployment.daemonId) {
-            this->reports->send({peer.endpoint.address(), port}, payload);
-        }
+    for (const PeerDaemon *const receiver : receivers) {
+        this->reports->send({receiver->endpoint.address(), port}, payload);
+    }
+}
+
+void GatewayDaemon::sendReport()
+{
+    const Deployment &deployment = this->adapter.deployment;
+    this->sendTo(this->colleagues(), this->ownReport());
+    if (this->delegateOf(deployment.dataCentre) == deployment.daemonId) {
+        this->sendTo(this->otherDelegates(), this->dataCentreReport());
+    }
+}
+
+void GatewayDaemon::relayReport(const DaemonReport &report)
+{
+    const auto sender = this->view->daemons.find(report.daemon);
+    const bool isFirstHand = sender != this->view->daemons.end() && sender->second.dataCentre == report.dataCentre
+        && this->delegateOf(this->adapter.deployment.dataCentre) == this->adapter.deployment.daemonId;
+    if (isFirstHand) {
+        this->sendTo(this->colleagues(), report);
     }
 }
 
@@ -417,18 +533,16 @@
         return;
     }
     const core::TimePoint now = core::Clock::now();
-    const bool wasLeaving = this->leavingDaemons.contains(report.daemon);
-    if (report.isLeaving != wasLeaving) {
-        if (report.isLeaving) {
-            this->leavingDaemons.insert(report.daemon);
-        } else {
-            this->leavingDaemons.erase(report.daemon);
-        }
-        this->scheduleView();
-    }
-    this->shares.report(report.daemon, std::move(report.demand), now);
-    this->storeAges[report.daemon] = report.storeAge;
-    this->reportedAt[report.daemon] = now;
+    this->applyLeaving(report);
+    if (report.dataCentre.empty()) {
+        this->localReports[report.daemon] = report;
+    } else {
+        this->relayReport(report);
+    }
+    const std::string &reporter = report.dataCentre.empty() ? report.daemon : report.dataCentre;
+    this->shares.report(reporter, report.demand, report.daemons, now);
+    this->storeAges[reporter] = report.storeAge;
+    this->reportedAt[reporter] = now;
     for (const auto &[service, promotion] : report.promotions) {
         this->applyPromotion(service, promotion.server, promotion.fence);
     }
@@ -441,6 +555,24 @@
     }
 }
 
+void GatewayDaemon::applyLeaving(const DaemonReport &report)
+{
+    std::set<std::string, std::less<>> next = report.leaving;
+    for (const std::string &daemon : this->leavingDaemons) {
+        const auto known = this->view->daemons.find(daemon);
+        const bool isReported = report.dataCentre.empty()
+            ? daemon == report.daemon
+            : known != this->view->daemons.end() && known->second.dataCentre == report.dataCentre;
+        if (!isReported) {
+            next.insert(daemon);
+        }
+    }
+    if (next != this->leavingDaemons) {
+        this->leavingDaemons = std::move(next);
+        this->scheduleView();
+    }
+}
+
 net::awaitable<void> GatewayDaemon::fetchConfiguration(net::TcpEndpoint endpoint)
 {
     net::HttpRequest request{.target = std::string(ConfigurationPath)};
--- a/gateway/gatewaydaemon.h
+++ b/gateway/gatewaydaemon.h
@@ -52,7 +52,15 @@
     net::awaitable<void> fetchConfiguration(net::TcpEndpoint endpoint);
     net::HttpResponse answerReadiness(const net::HttpRequest &request) const;
     void receiveReport(std::string_view payload);
+    void applyLeaving(const DaemonReport &report);
     void sendReport();
+    void sendTo(const std::vector<const PeerDaemon *> &receivers, const DaemonReport &report);
+    void relayReport(const DaemonReport &report);
+    DaemonReport ownReport() const;
+    DaemonReport dataCentreReport() const;
+    std::string delegateOf(std::string_view dataCentre) const;
+    std::vector<const PeerDaemon *> colleagues() const;
+    std::vector<const PeerDaemon *> otherDelegates() const;
     void applyOwnItem(const MetadataItem &item);
     void applyServers();
     void applyPromotion(const std::string &service, const std::string &server, std::uint64_t fence);
@@ -65,6 +73,13 @@
     core::Milliseconds storeAge() const;
     void addHomes(GatewayView &view) const;
 
+    /// What a daemon's key in the metadata store says of it.
+    struct Registration
+    {
+        std::string address;
+        std::string dataCentre;
+    };
+
     PlatformAdapter adapter;
     telemetry::DecisionLog log;
     telemetry::Metrics metrics;
@@ -83,8 +98,10 @@
     limits::Demand demand; ///< Decayed average of this daemon.
     std::map<std::string, core::Milliseconds, std::less<>> storeAges; ///< Of other daemons, as reported.
     std::map<std::string, core::TimePoint, std::less<>> reportedAt;
-    std::set<std::string> leavingDaemons;
-    std::map<std::string, bool, std::less<>> registered; ///< Daemons with a key in the metadata store.
+    std::set<std::string, std::less<>> leavingDaemons;
+    std::map<std::string, Registration, std::less<>> registered; ///< Daemons with a key in the metadata store.
+    std::map<std::string, double, std::less<>> processorShares; ///< As last registered.
+    std::map<std::string, DaemonReport, std::less<>> localReports; ///< Of the own data centre, by daemon.
     std::shared_ptr<const GatewayView> view = std::make_shared<GatewayView>();
     std::optional<core::TimePoint> renewedAt; ///< Last renewal of the lease.
     bool viewPending = false;
--- a/gateway/gatewayview.h
+++ b/gateway/gatewayview.h
@@ -16,6 +16,7 @@
     std::string id;
     net::TcpEndpoint endpoint;
     std::string dataCentre;
+    double processorShare = 0; ///< Of one core; 0 if it is not known.
     bool isSuspect = false; ///< Did not answer lately; it gets no new work.
 };
 
--- a/gateway/metadatasync.cpp
+++ b/gateway/metadatasync.cpp
@@ -21,6 +21,9 @@
 constexpr std::chrono::milliseconds ReadTimeout{1'500};
 constexpr std::chrono::milliseconds FirstRetry{100};
 constexpr std::chrono::milliseconds LastRetry{800};
+/// Pause between two watches for each daemon that watches.
+constexpr std::chrono::milliseconds PausePerWatcher{5};
+constexpr std::chrono::milliseconds LongestPause{500};
 /// Entries that expired while the store was away come back within two seconds of its return.
 constexpr std::chrono::milliseconds RemovalDelay{2'200};
 
@@ -143,9 +146,18 @@
             this->apply(item);
         }
         this->revision = std::max(this->revision, page.revision);
+        // Changes often come in series; in a large fleet one call for several of them saves the store many.
+        asio::steady_timer pause(this->executor,
+                                 std::min(static_cast<int>(this->watchers) * PausePerWatcher, LongestPause));
+        co_await pause.async_wait(UseTuple);
     }
 }
 
+void MetadataSync::setWatchers(std::size_t daemons)
+{
+    this->watchers = daemons;
+}
+
 void MetadataSync::apply(const MetadataItem &item)
 {
     if (item.key == this->format.configurationKey) {
--- a/gateway/metadatasync.h
+++ b/gateway/metadatasync.h
@@ -48,6 +48,9 @@
     net::awaitable<void> run();
     void stop();
 
+    /// Daemons that watch the store, this one included. The more there are, the less often each of them asks.
+    void setWatchers(std::size_t daemons);
+
     /// Takes over a configuration from another daemon; an older one than known is ignored.
     void offerConfiguration(std::string_view text);
 
@@ -78,6 +81,7 @@
     std::map<std::string, std::uint64_t, std::less<>> ownKeys; ///< Known keys of the daemons with their revision.
     std::shared_ptr<const Configuration> newest;
     std::uint64_t revision = 0;
+    std::size_t watchers = 1;
     std::optional<core::TimePoint> contact;
     bool reachable = false;
     bool stopped = false;
--- a/limits/demandshares.cpp
+++ b/limits/demandshares.cpp
@@ -21,13 +21,14 @@
 {
 }
 
-void DemandShares::report(std::string_view member, Demand demand, core::TimePoint now)
+void DemandShares::report(std::string_view reporter, Demand demand, std::size_t daemons, core::TimePoint now)
 {
-    if (member == this->self) {
+    if (reporter == this->self) {
         return;
     }
     this->heardAt = now;
-    this->reports.insert_or_assign(std::string(member), Report{.demand = std::move(demand), .heardAt = now});
+    this->reports.insert_or_assign(std::string(reporter),
+                                   Report{.demand = std::move(demand), .daemons = daemons, .heardAt = now});
 }
 
 void DemandShares::setOwnDemand(Demand demand)
@@ -35,23 +36,23 @@
     this->own = std::move(demand);
 }
 
-void DemandShares::setLeaseHolders(std::map<std::string, bool, std::less<>> holders, core::TimePoint now)
+void DemandShares::setLeaseHolders(std::map<std::string, std::size_t, std::less<>> holders, core::TimePoint now)
 {
     this->leaseHolders = std::move(holders);
     this->leasesReadAt = now;
 }
 
-void DemandShares::forget(std::string_view member)
+void DemandShares::forget(std::string_view daemon)
 {
-    const auto found = this->reports.find(member);
+    const auto found = this->reports.find(daemon);
     if (found != this->reports.end()) {
         this->reports.erase(found);
     }
 }
 
-bool DemandShares::holdsShare(std::string_view member, const Report &report, core::TimePoint now) const
+bool DemandShares::holdsShare(std::string_view reporter, const Report &report, core::TimePoint now) const
 {
-    return now < report.heardAt + this->options.retention || this->leaseHolders.contains(member);
+    return now < report.heardAt + this->options.retention || this->leaseHolders.contains(reporter);
 }
 
 bool DemandShares::isIntroduced(core::TimePoint now) const
@@ -69,11 +70,11 @@
 std::size_t DemandShares::holders(core::TimePoint now) const
 {
     std::size_t count = 1;
-    for (const auto &[member, report] : this->reports) {
-        count += this->holdsShare(member, report, now) ? 1 : 0;
+    for (const auto &[reporter, report] : this->reports) {
+        count += this->holdsShare(reporter, report, now) ? report.daemons : 0;
     }
-    for (const auto &[member, held] : this->leaseHolders) {
-        count += held && member != this->self && !this->reports.contains(member) ? 1 : 0;
+    for (const auto &[reporter, daemons] : this->leaseHolders) {
+        count += reporter != this->self && !this->reports.contains(reporter) ? daemons : 0;
     }
     return count;
 }
@@ -88,8 +89,8 @@
     }
     const double wanted = demandFor(this->own, workspace);
     double total = wanted;
-    for (const auto &[member, report] : this->reports) {
-        if (this->holdsShare(member, report, now)) {
+    for (const auto &[reporter, report] : this->reports) {
+        if (this->holdsShare(reporter, report, now)) {
             total += demandFor(report.demand, workspace);
         }
     }
--- a/limits/demandshares.h
+++ b/limits/demandshares.h
@@ -41,17 +41,17 @@
 public:
     DemandShares(std::string self, core::TimePoint startedAt, DemandSharesOptions options = {});
 
-    /// Records what @p member has reported.
-    void report(std::string_view member, Demand demand, core::TimePoint now);
+    /// Records what a daemon has reported, or the sum for a group of @p daemons daemons, for example of a data centre.
+    void report(std::string_view reporter, Demand demand, std::size_t daemons, core::TimePoint now);
 
     /// Sets the demand of this daemon.
     void setOwnDemand(Demand demand);
 
-    /// Members that hold a lease in the metadata store, as last read at @p now.
-    void setLeaseHolders(std::map<std::string, bool, std::less<>> holders, core::TimePoint now);
+    /// Daemons that hold a lease in the metadata store, by the name under which they report, as last read at @p now.
+    void setLeaseHolders(std::map<std::string, std::size_t, std::less<>> holders, core::TimePoint now);
 
-    /// The member has left and spends nothing any more.
-    void forget(std::string_view member);
+    /// The daemon has left and spends nothing any more.
+    void forget(std::string_view daemon);
 
     /// Part of the rate of @p workspace, from 0 to 1, that this daemon may spend.
     double share(std::string_view workspace, double ratePerSecond, core::TimePoint now) const;
@@ -63,10 +63,11 @@
     struct Report
     {
         Demand demand;
+        std::size_t daemons = 1;
         core::TimePoint heardAt;
     };
 
-    bool holdsShare(std::string_view member, const Report &report, core::TimePoint now) const;
+    bool holdsShare(std::string_view reporter, const Report &report, core::TimePoint now) const;
     bool isIntroduced(core::TimePoint now) const;
     bool isEntitled(core::TimePoint now) const;
 
@@ -75,7 +76,7 @@
     DemandSharesOptions options;
     Demand own;
     std::map<std::string, Report, std::less<>> reports;
-    std::map<std::string, bool, std::less<>> leaseHolders;
+    std::map<std::string, std::size_t, std::less<>> leaseHolders;
     std::optional<core::TimePoint> leasesReadAt;
     std::optional<core::TimePoint> heardAt; ///< Of the last report.
 };
--- /dev/null
+++ b/tests/failover/test_promotionchoice.cpp
@@ -0,0 +1,134 @@
+#include "failover/promotionchoice.h"
+
+#include "failover/primarytracker.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+
+namespace endiveshore::failover {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr core::TimePoint Start = core::TimePoint(1'000s);
+
+}
+
+// Guards against the promotion of a replica that received nothing for a while, which would lose commits.
+TEST(PromotionChoice, MostAdvancedReplicaOfTheNewestTermIsChosen)
+{
+    const std::array candidates{
+        PromotionCandidate{.server = "deaf", .term = 3, .received = {.term = 3, .position = 10}},
+        PromotionCandidate{.server = "old", .term = 2, .received = {.term = 2, .position = 99}},
+        PromotionCandidate{.server = "best", .term = 3, .received = {.term = 3, .position = 12}},
+    };
+    EXPECT_EQ(choosePromotion(candidates)->server, "best");
+}
+
+// Guards against a second change of primary soon after the first, because the chosen server was about to leave.
+TEST(PromotionChoice, LeavingServerIsTheLastChoice)
+{
+    const std::array candidates{
+        PromotionCandidate{.server = "leaving", .isLeaving = true, .received = {.term = 3, .position = 12}},
+        PromotionCandidate{.server = "staying", .received = {.term = 3, .position = 11}},
+    };
+    EXPECT_EQ(choosePromotion(candidates)->server, "staying");
+    EXPECT_EQ(choosePromotion(std::span(candidates).first(1))->server, "leaving");
+    EXPECT_EQ(choosePromotion({}), nullptr);
+}
+
+// Guards against a promotion beside a server that leads already.
+TEST(PromotionChoice, LeaderOfTheNewestTermIsRecognised)
+{
+    const std::array candidates{
+        PromotionCandidate{.server = "former", .isPrimary = true, .term = 3},
+        PromotionCandidate{.server = "leader", .isPrimary = true, .term = 4},
+        PromotionCandidate{.server = "replica", .term = 4},
+    };
+    EXPECT_EQ(leadingCandidate(candidates)->server, "leader");
+    EXPECT_EQ(leadingCandidate(std::span(candidates).last(1)), nullptr);
+}
+
+// Guards against a promotion because one connection was reset.
+TEST(PrimarySuspicion, OneFailedProbeIsNotEnough)
+{
+    PrimarySuspicion suspicion;
+    suspicion.record(false, Start);
+    EXPECT_FALSE(suspicion.isDead());
+    suspicion.record(true, Start + 100ms);
+    suspicion.record(false, Start + 200ms);
+    EXPECT_FALSE(suspicion.isDead());
+    suspicion.record(false, Start + 300ms);
+    EXPECT_TRUE(suspicion.isDead());
+    EXPECT_EQ(suspicion.since(), Start + 200ms);
+}
+
+// Guards against an unanswered order that is carried out after a newer decision: each decision has a higher fence, and
+// each holder's fences are above all of the holder before.
+TEST(FenceCounter, FencesRiseWithDecisionsAndHolders)
+{
+    FenceCounter first(41);
+    FenceCounter second(42);
+    std::uint64_t last = 0;
+    for (int decision = 0; decision < 1'000; ++decision) {
+        const std::uint64_t fence = first.next();
+        EXPECT_GT(fence, last);
+        last = fence;
+    }
+    EXPECT_GT(second.next(), last);
+}
+
+// Guards against writes sent to a former primary whose old entry still claims the lead.
+TEST(PrimaryTracker, PromotionOutranksOldClaims)
+{
+    PrimaryTracker tracker;
+    tracker.reportRole("db", "a", true, 10);
+    tracker.reportRole("db", "b", false, 11);
+    EXPECT_EQ(tracker.primaryOf("db"), "a");
+    EXPECT_TRUE(tracker.promoted("db", "b", 100));
+    EXPECT_EQ(tracker.primaryOf("db"), "b");
+    tracker.reportRole("db", "a", true, 12);
+    EXPECT_EQ(tracker.primaryOf("db"), "b");
+}
+
+// Guards against news of a promotion that arrives after a newer one.
+TEST(PrimaryTracker, OlderPromotionIsIgnored)
+{
+    PrimaryTracker tracker;
+    tracker.reportRole("db", "a", false, 1);
+    tracker.reportRole("db", "b", false, 2);
+    EXPECT_TRUE(tracker.promoted("db", "b", 200));
+    EXPECT_FALSE(tracker.promoted("db", "a", 100));
+    EXPECT_EQ(tracker.primaryOf("db"), "b");
+}
+
+// Guards against a daemon that missed the news of a promotion and keeps to an older one.
+TEST(PrimaryTracker, LaterClaimSupersedesAnOlderPromotion)
+{
+    PrimaryTracker tracker;
+    tracker.reportRole("db", "a", true, 10);
+    tracker.reportRole("db", "b", false, 11);
+    tracker.promoted("db", "b", 100);
+    tracker.reportRole("db", "b", true, 20);
+    tracker.reportRole("db", "b", false, 30);
+    tracker.reportRole("db", "a", false, 31);
+    tracker.reportRole("db", "a", true, 32);
+    EXPECT_EQ(tracker.primaryOf("db"), "a");
+}
+
+// Guards against a service that waits for a primary that has said that it does not lead, or is gone.
+TEST(PrimaryTracker, DeniedOrRemovedServerIsNoPrimary)
+{
+    PrimaryTracker tracker;
+    tracker.reportRole("db", "a", true, 10);
+    tracker.denied("db", "a");
+    EXPECT_EQ(tracker.primaryOf("db"), "");
+    tracker.reportRole("db", "b", true, 20);
+    EXPECT_EQ(tracker.primaryOf("db"), "b");
+    tracker.remove("db", "b");
+    EXPECT_EQ(tracker.primaryOf("db"), "");
+}
+
+}
--- /dev/null
+++ b/tests/gateway/test_rategate.cpp
@@ -0,0 +1,69 @@
+#include "gateway/rategate.h"
+
+#include <gtest/gtest.h>
+
+namespace endiveshore::gateway {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr core::TimePoint Start = core::TimePoint(1'000s);
+
+Configuration configuration(double rate, double burst)
+{
+    Configuration made;
+    made.workspaces.emplace("w", Workspace{.name = "w", .limits = {.ratePerSecond = rate, .burst = burst}});
+    return made;
+}
+
+}
+
+// Guards against more operations than this daemon's share of the rate.
+TEST(RateGate, SpendsNoMoreThanItsShare)
+{
+    RateGate gate;
+    gate.update(configuration(100, 100), {{"w", 0.25}}, Start);
+    int taken = 0;
+    for (core::Milliseconds time{0}; time < 4s; time += 1ms) {
+        taken += gate.tryTake("w", Start + time) ? 1 : 0;
+    }
+    EXPECT_LE(taken, 25 + 4 * 25);
+    EXPECT_GE(taken, 25 + 4 * 25 - 2);
+}
+
+// Guards against refusals as over rate of operations whose earlier tries no server could run.
+TEST(RateGate, OperationThatNoServerRanIsGivenBack)
+{
+    RateGate gate;
+    gate.update(configuration(1, 1), {{"w", 1}}, Start);
+    for (int attempt = 0; attempt < 10; ++attempt) {
+        ASSERT_TRUE(gate.tryTake("w", Start));
+        gate.giveBack("w");
+    }
+    EXPECT_TRUE(gate.tryTake("w", Start));
+    EXPECT_FALSE(gate.tryTake("w", Start));
+}
+
+// Guards against a workspace that outlives its removal from the configuration.
+TEST(RateGate, RemovedWorkspaceMayNotStartAnything)
+{
+    RateGate gate;
+    gate.update(configuration(100, 100), {{"w", 1}}, Start);
+    gate.update(Configuration(), {{"w", 1}}, Start);
+    EXPECT_FALSE(gate.tryTake("w", Start));
+    EXPECT_EQ(gate.timeUntilNext("w", Start), core::Duration::max());
+}
+
+// Guards against demand that is counted twice or forgotten between two reports.
+TEST(RateGate, DemandIsTakenOnce)
+{
+    RateGate gate;
+    gate.countDemand("w");
+    gate.countDemand("w");
+    const auto demand = gate.takeDemand();
+    EXPECT_EQ(demand.at("w"), 2U);
+    EXPECT_TRUE(gate.takeDemand().empty());
+}
+
+}
--- /dev/null
+++ b/tests/limits/test_demandshares.cpp
@@ -0,0 +1,107 @@
+#include "limits/demandshares.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace endiveshore::limits {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr core::TimePoint Start = core::TimePoint(1'000s);
+constexpr double Rate = 100;
+
+}
+
+// Guards against a daemon that refuses its callers although the workspace is inside its rate: the rest is split evenly.
+TEST(DemandShares, SpareRateIsSplitEvenly)
+{
+    DemandShares shares("a", Start);
+    shares.setOwnDemand({{"w", 10}});
+    shares.report("b", {{"w", 30}}, 1, Start);
+    EXPECT_DOUBLE_EQ(shares.share("w", Rate, Start), 0.4);
+}
+
+// Guards against more than the rate over all daemons while the demand is above it, for example of one busy workspace.
+TEST(DemandShares, SharesOfAllDaemonsNeverExceedTheRate)
+{
+    std::mt19937 random(7);
+    std::uniform_real_distribution<double> demand(0, 300);
+    for (int round = 0; round < 200; ++round) {
+        std::map<std::string, Demand> wanted;
+        for (const char *daemon : {"a", "b", "c", "d", "e"}) {
+            wanted[daemon] = {{"w", round % 3 == 0 ? demand(random) / 10 : demand(random)}};
+        }
+        double sum = 0;
+        for (const auto &[self, own] : wanted) {
+            DemandShares shares(self, Start);
+            shares.setOwnDemand(own);
+            for (const auto &[other, others] : wanted) {
+                shares.report(other, others, 1, Start);
+            }
+            sum += shares.share("w", Rate, Start);
+        }
+        EXPECT_LE(sum, 1 + 1e-9);
+    }
+}
+
+// Guards against two daemons that each spend the whole rate: one that hears nobody stops before the others divide its
+// share, unless its lease in the metadata store still runs.
+TEST(DemandShares, IsolatedDaemonStopsBeforeItsShareIsDivided)
+{
+    DemandShares isolated("a", Start);
+    DemandShares other("b", Start);
+    isolated.setOwnDemand({{"w", 80}});
+    isolated.report("b", {{"w", 80}}, 1, Start);
+    other.setOwnDemand({{"w", 80}});
+    other.report("a", {{"w", 80}}, 1, Start);
+    for (core::Milliseconds time{0}; time < 10s; time += 100ms) {
+        other.report("c", {}, 1, Start + time);
+        const double sum = isolated.share("w", Rate, Start + time) + other.share("w", Rate, Start + time);
+        EXPECT_LE(sum, 1 + 1e-9) << time.count();
+    }
+    EXPECT_EQ(isolated.share("w", Rate, Start + 5s), 0);
+    EXPECT_GT(other.share("w", Rate, Start + 9s), 0.5);
+}
+
+// Guards against refusing everything on a daemon that is cut off from its peers but not from the metadata store.
+TEST(DemandShares, LeaseInTheStoreKeepsTheShareOfAnIsolatedDaemon)
+{
+    DemandShares shares("a", Start);
+    shares.setOwnDemand({{"w", 10}});
+    shares.report("b", {{"w", 10}}, 1, Start);
+    shares.setLeaseHolders({{"a", 1}, {"b", 1}}, Start + 8s);
+    EXPECT_DOUBLE_EQ(shares.share("w", Rate, Start + 9s), 0.5);
+}
+
+// Guards against refusals right after the start of all daemons, and against a restarted one that takes the whole rate.
+TEST(DemandShares, NewDaemonHasASmallShareUntilItHasHeardOthers)
+{
+    DemandShares shares("a", Start);
+    EXPECT_DOUBLE_EQ(shares.share("w", Rate, Start + 100ms), DemandSharesOptions().initialShare);
+    shares.report("b", {{"w", 60}}, 1, Start + 200ms);
+    EXPECT_DOUBLE_EQ(shares.share("w", Rate, Start + 200ms), 0.2);
+}
+
+// Guards against a data centre counted as one daemon.
+TEST(DemandShares, SumOfADataCentreCountsItsDaemons)
+{
+    DemandShares shares("a", Start);
+    shares.report("north", {{"w", 20}}, 3, Start);
+    EXPECT_EQ(shares.holders(Start), 4U);
+    EXPECT_DOUBLE_EQ(shares.share("w", Rate, Start), 0.2);
+}
+
+// Guards against spending above the rate while the reports of a data centre do not arrive: its daemons are known from
+// their leases.
+TEST(DemandShares, LeaseHoldersWithoutReportsKeepAnEvenShare)
+{
+    DemandShares shares("a", Start);
+    shares.setOwnDemand({{"w", 90}});
+    shares.setLeaseHolders({{"a", 1}, {"north", 3}}, Start + 2s);
+    EXPECT_EQ(shares.holders(Start + 2s), 4U);
+}
+
+}
--- a/tests/store/test_storeclient.cpp
+++ b/tests/store/test_storeclient.cpp
@@ -1,8 +1,8 @@
 #include "core/error.h"
-#include "store/storeclient.h"
-#include "store/vmlistclient.h"
 #include "standins/storestandin.h"
 #include "standins/vmliststandin.h"
+#include "store/storeclient.h"
+#include "store/vmlistclient.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
