--- /dev/null
+++ b/tests/gateway/test_messages.cpp
@@ -0,0 +1,95 @@
+#include "core/json.h"
+#include "gateway/daemonreport.h"
+#include "gateway/workmessage.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace endiveshore::gateway {
+
+namespace {
+
+template<typename Read>
+auto readBack(const boost::json::object &object, Read read)
+{
+    const std::string text = boost::json::serialize(object);
+    return core::valueOrThrow([&]() -> decltype(read(object)) {
+        BOOST_LEAF_AUTO(body, core::parseJsonObject(text));
+        return read(body);
+    });
+}
+
+}
+
+// Guards against a field that is lost or changed between two daemons: the statement, its session and its position.
+TEST(WorkMessage, UnitSurvivesTheWay)
+{
+    const pooling::WorkUnit unit{.kind = pooling::UnitKind::OpenTransaction,
+                                 .server = "i-1",
+                                 .workspace = "north",
+                                 .id = "5c0e",
+                                 .text = "1a4 \"x\"",
+                                 .prepared = pooling::PreparedShape{.writes = true, .shape = "q2c"},
+                                 .values = {{"zone", "a b"}},
+                                 .minimumPosition = {.term = 3, .position = 1'207},
+                                 .lease = "l",
+                                 .priority = 2,
+                                 .queueLimit = std::chrono::milliseconds(10),
+                                 .statementLimit = std::chrono::milliseconds(20),
+                                 .idleLimit = std::chrono::milliseconds(30)};
+    const pooling::WorkUnit read = readBack(toJson(unit), workUnitFromJson);
+    EXPECT_EQ(read.kind, unit.kind);
+    EXPECT_EQ(read.text, unit.text);
+    EXPECT_EQ(read.prepared, unit.prepared);
+    EXPECT_EQ(read.values, unit.values);
+    EXPECT_EQ(read.minimumPosition, unit.minimumPosition);
+    EXPECT_EQ(read.idleLimit, unit.idleLimit);
+}
+
+// Guards against an outcome that changes on the way, which could turn a statement in doubt into one that did not run.
+TEST(WorkMessage, OutcomeSurvivesTheWay)
+{
+    rc::check("outcome, error and rows", [](bool failed, const std::vector<std::uint8_t> &bytes) {
+        pooling::UnitResult result{.outcome = static_cast<pooling::UnitOutcome>(bytes.size() % 4),
+                                   .error = static_cast<pooling::UnitError>(bytes.size() % 13),
+                                   .rows = {"a b", ""},
+                                   .provenPosition = session::LogPosition{.term = 2, .position = 5},
+                                   .proofAge = std::chrono::nanoseconds(bytes.size()),
+                                   .transactionFailed = failed};
+        const pooling::UnitResult read = readBack(toJson(result), unitResultFromJson);
+        RC_ASSERT(read.outcome == result.outcome);
+        RC_ASSERT(read.error == result.error);
+        RC_ASSERT(read.rows == result.rows);
+        RC_ASSERT(read.provenPosition == result.provenPosition);
+        RC_ASSERT(read.transactionFailed == failed);
+    });
+}
+
+// Guards against a message of another version that is taken for a result.
+TEST(WorkMessage, MalformedMessagesAreRefused)
+{
+    EXPECT_THROW(readBack({}, unitResultFromJson), core::Error);
+    EXPECT_THROW(readBack({{"o", 99}}, unitResultFromJson), core::Error);
+    EXPECT_THROW(readBack({{"k", 0}}, workUnitFromJson), core::Error);
+    EXPECT_THROW(readBack({{"k", 0}, {"s", "i"}, {"p", 1}, {"v", {{"a", 1}}}}, workUnitFromJson), core::Error);
+}
+
+TEST(DaemonReport, ReportSurvivesTheWay)
+{
+    const DaemonReport report{.daemon = "a",
+                              .dataCentre = "z1",
+                              .daemons = 3,
+                              .demand = {{"w", 12.3}},
+                              .configurationVersion = 7,
+                              .storeAge = core::Milliseconds(40),
+                              .leaving = {"b"},
+                              .promotions = {{"s", {.server = "i-1", .fence = 4'200'001}}}};
+    const DaemonReport read = readBack(toJson(report), daemonReportFromJson);
+    EXPECT_EQ(read.daemons, 3U);
+    EXPECT_DOUBLE_EQ(read.demand.at("w"), 12.3);
+    EXPECT_EQ(read.leaving, report.leaving);
+    EXPECT_EQ(read.promotions.at("s").fence, 4'200'001U);
+    EXPECT_THROW(readBack({{"i", "a"}}, daemonReportFromJson), core::Error);
+}
+
+}
--- /dev/null
+++ b/tests/gateway/test_pooledserver.cpp
@@ -0,0 +1,248 @@
+#include "gateway/pooledserver.h"
+
+#include "core/error.h"
+#include "tests/gateway/fakebackend.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+
+namespace endiveshore::gateway {
+
+using namespace std::chrono_literals;
+using pooling::UnitError;
+using pooling::UnitKind;
+using pooling::UnitOutcome;
+using pooling::UnitResult;
+using pooling::WorkUnit;
+
+namespace {
+
+class PooledServerTest : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        this->makePool(4, 5);
+    }
+
+    void makePool(unsigned connections, unsigned slots)
+    {
+        const std::shared_ptr<FakeBackend> shared = this->backend;
+        this->pool = std::make_shared<PooledServer>(PooledServerOptions{
+            .executor = this->context.get_executor(),
+            .server = {.id = "i-1", .service = "db", .slots = slots},
+            .connections = connections,
+            .links = [shared](const net::Executor &executor) { return std::make_unique<FakeLink>(executor, shared); }});
+    }
+
+    static WorkUnit unit(UnitKind kind, std::string text, std::string id = "5c0e")
+    {
+        return {.kind = kind,
+                .server = "i-1",
+                .workspace = "north",
+                .id = std::move(id),
+                .text = std::move(text),
+                .queueLimit = 300ms,
+                .statementLimit = 200ms,
+                .idleLimit = 100ms};
+    }
+
+    /// Runs @p work beside others; its result is stored under @p name.
+    void start(const std::string &name, WorkUnit work)
+    {
+        boost::asio::co_spawn(this->context,
+                              this->pool->run(std::move(work)),
+                              [this, name](const std::exception_ptr &, UnitResult result) {
+                                  this->results.insert_or_assign(name, std::move(result));
+                              });
+    }
+
+    UnitResult run(WorkUnit work)
+    {
+        this->start("last", std::move(work));
+        this->runUntil([this] { return this->results.contains("last"); });
+        UnitResult result = this->results.at("last");
+        this->results.erase("last");
+        return result;
+    }
+
+    /// Runs the event loop, with ticks of the pool, until @p done or for 3 s.
+    void runUntil(const std::function<bool()> &done)
+    {
+        const core::TimePoint giveUp = core::Clock::now() + 3s;
+        while (!done() && core::Clock::now() < giveUp) {
+            this->context.restart();
+            this->context.run_for(5ms);
+            this->pool->tick(core::Clock::now());
+        }
+        EXPECT_TRUE(done());
+    }
+
+    boost::asio::io_context context;
+    std::shared_ptr<FakeBackend> backend = std::make_shared<FakeBackend>();
+    std::shared_ptr<PooledServer> pool;
+    std::map<std::string, UnitResult> results;
+};
+
+}
+
+// Guards against a stale read: a server that lost the lead refuses the transaction, and the read is never sent to it.
+TEST_F(PooledServerTest, PrimaryReadIsNotSentToAServerThatLostTheLead)
+{
+    EXPECT_EQ(this->run(unit(UnitKind::PrimaryRead, "READ 1")).outcome, UnitOutcome::Done);
+    EXPECT_TRUE(this->backend->statements().front().inTransaction);
+    this->backend->leads = false;
+    const UnitResult refused = this->run(unit(UnitKind::PrimaryRead, "READ 1"));
+    EXPECT_EQ(refused.outcome, UnitOutcome::NotRun);
+    EXPECT_EQ(refused.error, UnitError::NotPrimary);
+    EXPECT_EQ(this->backend->statements().size(), 1U);
+}
+
+// Guards against a statement of a transaction that runs outside of it because the transaction did not begin.
+TEST_F(PooledServerTest, RefusedTransactionRunsNothing)
+{
+    this->backend->leads = false;
+    EXPECT_EQ(this->run(unit(UnitKind::OpenTransaction, "WRITE 1 x")).error, UnitError::NotPrimary);
+    EXPECT_TRUE(this->backend->statements().empty());
+    EXPECT_EQ(this->pool->openTransactions(), 0U);
+}
+
+// Guards against a doubled write: one whose answer was lost may have run and is not sent again.
+TEST_F(PooledServerTest, WriteWithoutAnswerIsInDoubtAndNotRepeated)
+{
+    this->backend->loseAnswers = 1;
+    const UnitResult result = this->run(unit(UnitKind::Write, "WRITE 1 x"));
+    EXPECT_EQ(result.outcome, UnitOutcome::Unknown);
+    EXPECT_EQ(this->backend->statements().size(), 1U);
+}
+
+// Guards against a refusal "not run" for a commit that may have been carried out.
+TEST_F(PooledServerTest, CommitWithoutAnswerIsInDoubt)
+{
+    const UnitResult opened = this->run(unit(UnitKind::OpenTransaction, "WRITE 1 x"));
+    ASSERT_FALSE(opened.lease.empty());
+    this->backend->loseAnswers = 1;
+    WorkUnit commit = unit(UnitKind::Commit, "COMMIT");
+    commit.lease = opened.lease;
+    EXPECT_EQ(this->run(std::move(commit)).outcome, UnitOutcome::Unknown);
+}
+
+// Guards against statements of two transactions on one connection, and of one transaction on two.
+TEST_F(PooledServerTest, TransactionsKeepTheirConnections)
+{
+    const UnitResult first = this->run(unit(UnitKind::OpenTransaction, "WRITE 1 x", "a"));
+    const UnitResult second = this->run(unit(UnitKind::OpenTransaction, "WRITE 2 x", "b"));
+    for (int step = 0; step < 3; ++step) {
+        WorkUnit next = unit(UnitKind::InTransaction, "READ 1", "a");
+        next.lease = first.lease;
+        EXPECT_EQ(this->run(std::move(next)).outcome, UnitOutcome::Done);
+        EXPECT_EQ(this->run(unit(UnitKind::Write, "WRITE 3 x", "c")).outcome, UnitOutcome::Done);
+    }
+    std::map<std::string, std::set<std::size_t>> connections;
+    for (const FakeBackend::Seen &seen : this->backend->statements()) {
+        connections[seen.id].insert(seen.connection);
+        EXPECT_EQ(seen.inTransaction, seen.id != "c");
+    }
+    EXPECT_EQ(connections["a"].size(), 1U);
+    EXPECT_EQ(connections["b"].size(), 1U);
+    EXPECT_FALSE(connections["c"].contains(*connections["a"].begin()));
+    EXPECT_FALSE(connections["c"].contains(*connections["b"].begin()));
+}
+
+// Guards against values of one session that are seen by a statement of another on the same connection.
+TEST_F(PooledServerTest, StatementRunsWithExactlyTheValuesOfItsSession)
+{
+    WorkUnit first = unit(UnitKind::Write, "WRITE 1 x", "a");
+    first.values = {{"zone", "north"}, {"mode", "fast"}};
+    WorkUnit second = unit(UnitKind::Write, "WRITE 1 x", "b");
+    second.values = {{"zone", "south"}};
+    const pooling::SessionValues firstValues = first.values;
+    const pooling::SessionValues secondValues = second.values;
+    this->run(std::move(first));
+    this->run(std::move(second));
+    this->run(unit(UnitKind::Write, "WRITE 1 x", "c"));
+    const std::vector<FakeBackend::Seen> seen = this->backend->statements();
+    ASSERT_EQ(seen.size(), 3U);
+    EXPECT_EQ(seen[0].values, firstValues);
+    EXPECT_EQ(seen[1].values, secondValues);
+    EXPECT_TRUE(seen[2].values.empty());
+    EXPECT_EQ(this->backend->opened, 1U);
+}
+
+// Guards against a caller that leaves or rests inside a transaction and keeps its connection for ever.
+TEST_F(PooledServerTest, RestingTransactionIsRolledBack)
+{
+    const UnitResult opened = this->run(unit(UnitKind::OpenTransaction, "WRITE 1 x"));
+    this->runUntil([this] { return this->pool->openTransactions() == 0; });
+    this->runUntil([this] { return this->backend->seen.back().kind == CommandKind::Rollback; });
+    WorkUnit commit = unit(UnitKind::Commit, "COMMIT");
+    commit.lease = opened.lease;
+    EXPECT_EQ(this->run(std::move(commit)).error, UnitError::UnknownLease);
+}
+
+// Guards against refusals and a storm of connections when the server's limit is reached by connections of a former
+// home: units wait for the connections that are open.
+TEST_F(PooledServerTest, UnitsShareOpenConnectionsWhenTheServerRefusesMore)
+{
+    this->backend->connectionLimit = 1;
+    this->backend->work = 10ms;
+    for (int index = 0; index < 6; ++index) {
+        this->start(std::to_string(index), unit(UnitKind::Write, "WRITE 1 x"));
+    }
+    this->runUntil([this] { return this->results.size() == 6; });
+    for (const auto &[name, result] : this->results) {
+        EXPECT_EQ(result.outcome, UnitOutcome::Done) << name << ' ' << result.errorText;
+    }
+    EXPECT_EQ(this->backend->mostOpen, 1U);
+}
+
+// Guards against more statements at a server than its slots and one ahead, which it would refuse under load.
+TEST_F(PooledServerTest, SlotsAreNotExceeded)
+{
+    this->makePool(20, 3);
+    this->backend->work = 20ms;
+    for (int index = 0; index < 20; ++index) {
+        this->start(std::to_string(index), unit(UnitKind::Write, "WRITE 1 x"));
+    }
+    this->runUntil([this] { return this->results.size() == 20; });
+    EXPECT_LE(this->backend->mostRunning, 4U);
+}
+
+// Guards against units held to their deadline although no connection can be opened.
+TEST_F(PooledServerTest, UnreachableServerIsReportedAtOnce)
+{
+    this->backend->refuse = 1;
+    const core::TimePoint start = core::Clock::now();
+    const UnitResult result = this->run(unit(UnitKind::Write, "WRITE 1 x"));
+    EXPECT_EQ(result.outcome, UnitOutcome::NotRun);
+    EXPECT_EQ(result.error, UnitError::Unreachable);
+    EXPECT_LT(core::Clock::now() - start, 200ms);
+}
+
+// Guards against a read that waits for the whole queue limit although the server's log lacks its position.
+TEST_F(PooledServerTest, ReplicaBehindIsReportedAsNotRun)
+{
+    WorkUnit read = unit(UnitKind::ReplicaRead, "READ 1");
+    read.minimumPosition = {.term = 3, .position = 101};
+    const UnitResult result = this->run(std::move(read));
+    EXPECT_EQ(result.outcome, UnitOutcome::NotRun);
+    EXPECT_EQ(result.error, UnitError::Behind);
+}
+
+// Guards against a proof of freshness that is younger than the question to the primary.
+TEST_F(PooledServerTest, ProofCarriesItsAge)
+{
+    EXPECT_TRUE(this->run(unit(UnitKind::Prove, {})).provenPosition);
+    this->runUntil([start = core::Clock::now()] { return core::Clock::now() - start > 50ms; });
+    this->backend->position.position = 200;
+    const UnitResult later = this->run(unit(UnitKind::Write, "WRITE 1 x"));
+    EXPECT_EQ(later.provenPosition->position, 100U);
+    EXPECT_GE(later.proofAge, 50ms);
+}
+
+}
--- /dev/null
+++ b/tests/platform/test_documents.cpp
@@ -0,0 +1,86 @@
+#include "platform/documents.h"
+
+#include "core/error.h"
+
+#include <gtest/gtest.h>
+
+namespace endiveshore::platform {
+
+namespace {
+
+constexpr std::string_view Settings = "node=front-1\nclass=front\nip=127.0.0.5\nzone=z1\nregion=r1\nzones.z1=r1\n"
+                                      "zones.z2=r2\nlisten.front=127.0.0.5:8465\nlisten.ready=127.0.0.5:8460\n"
+                                      "port_range=7560,7575\nseeds=127.0.0.6:8462,127.0.0.7:8462\n"
+                                      "platform.address=127.0.0.8:1\ncloud_api.address=127.0.0.9:2\n"
+                                      "bounds.grace_s=6\nlimits.cpu_share=0.25\nunknown.field=1\n";
+
+constexpr std::string_view Server = R"({"service":"db","address":"127.0.0.4:80","zone":"z1","version":"v1","slots":5,)"
+                                    R"("state":"ready","cold_left_ms":0,"db_role":"replica","seq":4,"born":17})";
+
+std::string replaced(std::string_view text, std::string_view from, std::string_view to)
+{
+    std::string result(text);
+    result.replace(result.find(from), from.size(), to);
+    return result;
+}
+
+}
+
+TEST(Deployment, SettingsAreRead)
+{
+    const gateway::Deployment deployment = readDeployment(Settings);
+    EXPECT_EQ(deployment.daemonId, "front-1");
+    EXPECT_EQ(deployment.peerListen.port(), 7'560);
+    EXPECT_EQ(deployment.reportListen.port(), 7'561);
+    ASSERT_EQ(deployment.seeds.size(), 2U);
+    EXPECT_EQ(deployment.seeds.front().port(), 7'560);
+    EXPECT_EQ(deployment.stopGrace, core::Milliseconds(6'000));
+    EXPECT_EQ(deployment.regionOfDataCentre.at("z2"), "r2");
+}
+
+// Guards against a daemon that starts with half of its settings.
+TEST(Deployment, MissingOrMalformedSettingIsNamed)
+{
+    for (const std::string_view line : {"node=front-1\n", "platform.address=127.0.0.8:1\n", "zone=z1\n"}) {
+        EXPECT_THROW(readDeployment(replaced(Settings, line, "")), core::Error) << line;
+    }
+    EXPECT_THROW(readDeployment(replaced(Settings, "=0.25", "=much")), core::Error);
+    EXPECT_THROW(readDeployment("no equals sign"), core::Error);
+}
+
+// Guards against an entry of another writer that is used as a server.
+TEST(ServerEntry, EntriesOfOtherWritersNameNoServer)
+{
+    ASSERT_TRUE(readServer("servers/i-1", Server, 9));
+    EXPECT_EQ(readServer("servers/i-1", Server, 9)->startedAt, 17);
+    const std::vector<std::string> others{"not json",
+                                          "[]",
+                                          replaced(Server, R"("ready")", R"("resting")"),
+                                          replaced(Server, R"("replica")", "7"),
+                                          replaced(Server, R"("127.0.0.4:80")", R"("nowhere")"),
+                                          replaced(Server, R"("slots":5)", R"("slots":"5")"),
+                                          replaced(Server, R"("service":"db",)", "")};
+    for (const std::string &text : others) {
+        EXPECT_FALSE(readServer("servers/i-1", text, 9)) << text;
+    }
+}
+
+TEST(ConfigurationDocument, RoutesKeysAndLimitsAreRead)
+{
+    const auto configuration = readConfiguration(
+        R"({"version":7,"routes":[{"name":"r","host":"db1","kind":"bounded","timeout_ms":3000,"slo_latency_ms":1200,)"
+        R"("priority":2,"service":"s","max_staleness_ms":1500,"public":false},{"host":"x","kind":"odd"}],)"
+        R"("services":[{"name":"s","max_conns":33,"sync_replicas":0}],"limits":{"tx_idle_ms":3000},)"
+        R"("tenants":[{"name":"t","api_keys":["k1","k2"],"rate_per_s":126,"burst":130}]})");
+    ASSERT_TRUE(configuration);
+    EXPECT_EQ(configuration->routes.size(), 1U);
+    EXPECT_EQ(configuration->routes.at("db1").kind, gateway::RouteKind::Bounded);
+    EXPECT_EQ(configuration->routes.at("db1").maximumAge, core::Milliseconds(1'500));
+    EXPECT_EQ(configuration->services.at("s").connectionLimit, 33U);
+    EXPECT_EQ(configuration->workspaceByKey.at("k2"), "t");
+    EXPECT_EQ(configuration->workspaces.at("t").limits.burst, 130);
+    EXPECT_FALSE(readConfiguration(R"({"routes":[]})"));
+    EXPECT_FALSE(readConfiguration("{"));
+}
+
+}
