--- a/gateway/callersession.cpp
+++ b/gateway/callersession.cpp
@@ -215,24 +215,12 @@
     if (refused) {
         co_return refused;
     }
-    RateGate &rates = *this->context->rates;
     if (!this->context->view->configuration->workspaces.contains(operation.workspace)) {
         co_return std::nullopt;
     }
-    rates.countDemand(operation.workspace);
     const core::TimePoint waitUntil = this->receivedAt + operation.route.latencyObjective / RateWaitPart;
-    while (true) {
-        const core::TimePoint now = core::Clock::now();
-        if (rates.tryTake(operation.workspace, now)) {
-            co_return std::nullopt;
-        }
-        const core::Duration wait = rates.timeUntilNext(operation.workspace, now);
-        if (wait > waitUntil - now) {
-            co_return CallerError::OverRate;
-        }
-        asio::steady_timer pause(this->context->executor, wait);
-        co_await pause.async_wait(UseTuple);
-    }
+    const bool admitted = co_await this->context->rates->acquire(operation.workspace, waitUntil);
+    co_return admitted ? std::nullopt : std::optional(CallerError::OverRate);
 }
 
 void CallerSession::settleRate(const std::string &workspace, const UnitResult &result)
@@ -489,8 +477,8 @@
         .field("request", request)
         .field("database", this->database)
         .field("workspace", denied ? std::string_view("-") : std::string_view(access.workspace))
-        .field("rate_tokens", denied ? 0 : this->context->rates->tokens(access.workspace, core::Clock::now()))
-        .field("rate_share", denied ? 0 : this->context->rates->share(access.workspace))
+        .field("rate_tokens", denied ? 0 : this->context->rates->gate().tokens(access.workspace, core::Clock::now()))
+        .field("rate_share", denied ? 0 : this->context->rates->gate().share(access.workspace))
         .field("error", static_cast<int>(*answered.error))
         .field("detail", answered.errorText)
         .field("configuration_version", version)
--- a/gateway/callersession.h
+++ b/gateway/callersession.h
@@ -2,7 +2,7 @@
 
 #include "gateway/callerprotocol.h"
 #include "gateway/operationrunner.h"
-#include "gateway/rategate.h"
+#include "gateway/rateclient.h"
 #include "telemetry/metrics.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -18,7 +18,7 @@
     net::Executor executor;
     const CallerProtocol *protocol = nullptr;
     OperationRunner *runner = nullptr;
-    RateGate *rates = nullptr;
+    RateClient *rates = nullptr;
     std::shared_ptr<const GatewayView> view;
     telemetry::DecisionLog *log = nullptr;
     telemetry::Metrics *metrics = nullptr;
--- a/gateway/gatewaydaemon.cpp
+++ b/gateway/gatewaydaemon.cpp
@@ -306,6 +306,12 @@
                 {.id = id, .dataCentre = daemon.dataCentre, .region = std::string(next.regionOf(daemon.dataCentre))});
         }
     }
+    const std::string_view ownRegion = this->adapter.deployment.region;
+    for (const membership::HomeCandidate &candidate : candidates) {
+        if (candidate.region == ownRegion) {
+            next.rateHomes.push_back(candidate.id);
+        }
+    }
     for (const auto &[id, server] : next.servers) {
         next.homes.emplace(
             id,
@@ -408,9 +414,21 @@
     if (configuration == nullptr) {
         return;
     }
-    auto next = std::make_shared<RateShares>();
+    std::set<std::string, std::less<>> regionReporters;
+    for (const auto &[dataCentre, region] : this->adapter.deployment.regionOfDataCentre) {
+        if (region == this->adapter.deployment.region) {
+            regionReporters.insert(dataCentre);
+        }
+    }
+    for (const PeerDaemon *const colleague : this->colleagues()) {
+        regionReporters.insert(colleague->id);
+    }
+    auto next = std::make_shared<DaemonShares>();
+    next->daemons = this->shares.holders(now);
     for (const auto &[name, workspace] : configuration->workspaces) {
-        next->emplace(name, this->shares.share(name, workspace.limits.ratePerSecond, now));
+        const double rate = workspace.limits.ratePerSecond;
+        next->own.emplace(name, this->shares.share(name, rate, now));
+        next->region.emplace(name, this->shares.groupShare(name, rate, regionReporters, now));
     }
     this->traffic.publishShares(std::move(next));
 }
--- a/gateway/gatewayview.cpp
+++ b/gateway/gatewayview.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gatewayview.h"
 
+#include "core/hashing.h"
+
 namespace endiveshore::gateway {
 
 std::string_view GatewayView::regionOf(std::string_view dataCentre) const
@@ -8,6 +10,21 @@
     return found == this->regionOfDataCentre.end() ? std::string_view() : std::string_view(found->second);
 }
 
+std::string GatewayView::rateHome(std::string_view workspace) const
+{
+    const std::uint64_t workspaceHash = core::stableHash(workspace);
+    const std::string *best = nullptr;
+    std::uint64_t bestWeight = 0;
+    for (const std::string &daemon : this->rateHomes) {
+        const std::uint64_t weight = core::rendezvousWeight(workspaceHash, core::stableHash(daemon));
+        if (best == nullptr || weight > bestWeight) {
+            best = &daemon;
+            bestWeight = weight;
+        }
+    }
+    return best == nullptr ? std::string() : *best;
+}
+
 const Route *GatewayView::route(std::string_view database) const
 {
     if (this->configuration == nullptr) {
--- a/gateway/gatewayview.h
+++ b/gateway/gatewayview.h
@@ -28,12 +28,16 @@
     std::map<std::string, std::string, std::less<>> primaries; ///< Server id by service.
     std::map<std::string, PeerDaemon, std::less<>> daemons; ///< Live ones, this one included.
     std::map<std::string, std::vector<std::string>, std::less<>> homes; ///< Daemon ids by server, preferred first.
+    std::vector<std::string> rateHomes; ///< Daemons of the own region that may keep the pools of rates.
     std::map<std::string, std::string, std::less<>> regionOfDataCentre;
     std::string self; ///< Id of this daemon.
     bool isLeaving = false;
 
     /// Region of @p dataCentre; empty if it is not known.
     std::string_view regionOf(std::string_view dataCentre) const;
+    /// Daemon that keeps the region's pool for @p workspace; empty without candidates.
+    std::string rateHome(std::string_view workspace) const;
+
     const Route *route(std::string_view database) const;
     const BackendServer *server(std::string_view id) const;
     const BackendServer *primary(std::string_view service) const;
--- a/gateway/metadatasync.cpp
+++ b/gateway/metadatasync.cpp
@@ -22,8 +22,8 @@
 constexpr std::chrono::milliseconds FirstRetry{100};
 constexpr std::chrono::milliseconds LastRetry{800};
 /// Pause between two watches for each daemon that watches.
-constexpr std::chrono::milliseconds PausePerWatcher{5};
-constexpr std::chrono::milliseconds LongestPause{500};
+constexpr std::chrono::milliseconds PausePerWatcher{12};
+constexpr std::chrono::milliseconds LongestPause{1'000};
 /// Entries that expired while the store was away come back within two seconds of its return.
 constexpr std::chrono::milliseconds RemovalDelay{2'200};
 
--- /dev/null
+++ b/gateway/rateclient.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "gateway/gatewayview.h"
+#include "gateway/rategate.h"
+#include "net/peerclient.h"
+
+#include <boost/json/fwd.hpp>
+
+#include <memory>
+
+namespace endiveshore::gateway {
+
+/// Path on which daemons ask for operations of a workspace's regional pool.
+inline constexpr std::string_view RatePath = "/peer/rate";
+
+/// Admits operations under the rates of their workspaces: from this daemon's own share, or, where that share is too
+/// small to hold a few operations, from the pool that one daemon of the region keeps for the workspace. One per traffic
+/// thread.
+class RateClient
+{
+public:
+    RateClient(net::Executor executor, std::string daemonId, net::PeerClient &peers);
+
+    void setView(std::shared_ptr<const GatewayView> view);
+
+    RateGate &gate();
+
+    /// Spends one operation of @p workspace; waits for it until @p waitUntil. False if there is none by then.
+    net::awaitable<bool> acquire(std::string workspace, core::TimePoint waitUntil);
+
+    /// Returns an operation that no server has run. It serves the next one of the workspace at this daemon.
+    void giveBack(std::string_view workspace);
+
+    /// Answers the request of another daemon for its pool.
+    boost::json::object serve(const boost::json::object &request);
+
+private:
+    net::awaitable<PoolAnswer> askPool(std::string workspace, core::Duration timeout);
+
+    net::Executor executor;
+    std::string daemonId;
+    net::PeerClient &peers;
+    std::shared_ptr<const GatewayView> view = std::make_shared<GatewayView>();
+    RateGate rates;
+};
+
+}
--- a/gateway/rategate.cpp
+++ b/gateway/rategate.cpp
@@ -9,25 +9,82 @@
 
 /// Below this burst a share could never start an operation.
 constexpr double MinimumBurst = 1;
+/// Operations that a daemon's even share of the burst must hold. With fewer, callers that come by chance at the same
+/// moment are refused although their workspace is inside its rate.
+constexpr double MinimumOwnBurst = 6;
+/// Part of its even share that a daemon may spend by itself while the rate is pooled. Below what the platform
+/// tolerates above a rate.
+constexpr double BridgePart = 0.05;
 
+double shareOf(const RateShares &shares, const std::string &workspace)
+{
+    const auto found = shares.find(workspace);
+    return found == shares.end() ? 0 : found->second;
+}
+
+}
+
+void RateGate::setBucket(Buckets &buckets,
+                         const std::string &workspace,
+                         limits::ShareLimits limits,
+                         core::TimePoint now)
+{
+    const auto bucket = buckets.find(workspace);
+    if (bucket == buckets.end()) {
+        buckets.emplace(workspace, limits::TokenBucket(limits, now));
+    } else {
+        bucket->second.setLimits(limits, now);
+    }
 }
 
-void RateGate::update(const Configuration &configuration, const RateShares &shares, core::TimePoint now)
+void RateGate::update(const Configuration &configuration, const DaemonShares &shares, core::TimePoint now)
 {
-    this->currentShares = shares;
-    std::erase_if(this->buckets, [&](const auto &entry) { return !configuration.workspaces.contains(entry.first); });
+    this->currentShares = shares.own;
+    const auto isRemoved = [&](const auto &entry) { return !configuration.workspaces.contains(entry.first); };
+    std::erase_if(this->buckets, isRemoved);
+    std::erase_if(this->pools, isRemoved);
     for (const auto &[name, workspace] : configuration.workspaces) {
-        const auto found = shares.find(name);
-        const double share = found == shares.end() ? 0 : found->second;
-        const limits::ShareLimits limits{.ratePerSecond = workspace.limits.ratePerSecond * share,
-                                         .burst = std::max(MinimumBurst, workspace.limits.burst * share)};
-        const auto bucket = this->buckets.find(name);
-        if (bucket != this->buckets.end()) {
-            bucket->second.setLimits(limits, now);
+        const limits::ShareLimits &whole = workspace.limits;
+        const double share = shareOf(shares.own, name);
+        const bool pooled = whole.burst / static_cast<double>(shares.daemons) < MinimumOwnBurst && shares.daemons > 1;
+        if (!pooled) {
+            this->pools.erase(name);
+            setBucket(
+                this->buckets,
+                name,
+                {.ratePerSecond = whole.ratePerSecond * share, .burst = std::max(MinimumBurst, whole.burst * share)},
+                now);
             continue;
         }
-        this->buckets.emplace(name, limits::TokenBucket(limits, now));
+        const double region = shareOf(shares.region, name) * (1 - BridgePart);
+        setBucket(
+            this->pools,
+            name,
+            {.ratePerSecond = whole.ratePerSecond * region, .burst = std::max(MinimumBurst, whole.burst * region)},
+            now);
+        const double bridge = BridgePart / static_cast<double>(shares.daemons);
+        setBucket(this->buckets, name, {.ratePerSecond = whole.ratePerSecond * bridge, .burst = MinimumBurst}, now);
+    }
+}
+
+bool RateGate::isPooled(std::string_view workspace) const
+{
+    return this->pools.contains(workspace);
+}
+
+PoolAnswer RateGate::takeFromPool(std::string_view workspace, core::TimePoint now)
+{
+    const auto pool = this->pools.find(workspace);
+    if (pool == this->pools.end()) {
+        return {};
+    }
+    if (pool->second.tryTake(1, now)) {
+        return {.granted = true, .retryAfter = {}};
     }
+    const core::Duration wait = pool->second.timeUntil(1, now);
+    constexpr std::chrono::seconds LongestRetry{1};
+    return {.retryAfter = std::chrono::duration_cast<core::Milliseconds>(std::min<core::Duration>(wait, LongestRetry))
+                + core::Milliseconds(1)};
 }
 
 void RateGate::countDemand(const std::string &workspace)
--- a/gateway/rategate.h
+++ b/gateway/rategate.h
@@ -13,13 +13,35 @@
 /// Part of each workspace's rate that this daemon may spend, from 0 to 1.
 using RateShares = std::map<std::string, double, std::less<>>;
 
+/// Answer of a workspace's regional pool.
+struct PoolAnswer
+{
+    bool granted = false;
+    core::Milliseconds retryAfter{100}; ///< If not granted: when the pool may have an operation again.
+};
+
+/// Shares of one daemon.
+struct DaemonShares
+{
+    RateShares own; ///< Of this daemon alone.
+    RateShares region; ///< Of all daemons of its region together.
+    std::size_t daemons = 1; ///< That share the rates, over all regions.
+};
+
 /// Counts the operations of workspaces against this daemon's share of their rates. Pure.
 class RateGate
 {
 public:
     /// Takes over configured rates and this daemon's shares. A workspace starts with a full bucket: while its
     /// daemon was away nothing was spent, and what it may have spent just before is part of the same window.
-    void update(const Configuration &configuration, const RateShares &shares, core::TimePoint now);
+    void update(const Configuration &configuration, const DaemonShares &shares, core::TimePoint now);
+
+    /// True if the even share of the workspace's burst is too small for a bucket of its own at each daemon. Its rate is
+    /// then pooled by region, and a daemon's own bucket only bridges the loss of the pool.
+    bool isPooled(std::string_view workspace) const;
+
+    /// Spends one operation of the pool that this daemon keeps for its region.
+    PoolAnswer takeFromPool(std::string_view workspace, core::TimePoint now);
 
     /// Counts an operation as wanted. To be called once for each operation before tryTake().
     void countDemand(const std::string &workspace);
@@ -41,7 +63,13 @@
     std::map<std::string, std::uint64_t, std::less<>> takeDemand();
 
 private:
-    std::map<std::string, limits::TokenBucket, std::less<>> buckets;
+    using Buckets = std::map<std::string, limits::TokenBucket, std::less<>>;
+
+    static void
+    setBucket(Buckets &buckets, const std::string &workspace, limits::ShareLimits limits, core::TimePoint now);
+
+    Buckets buckets;
+    Buckets pools; ///< Of pooled workspaces; used if this daemon is asked for them.
     RateShares currentShares;
     std::map<std::string, std::uint64_t, std::less<>> wanted;
 };
--- a/gateway/trafficcore.cpp
+++ b/gateway/trafficcore.cpp
@@ -33,6 +33,7 @@
     , guard(asio::make_work_guard(this->context))
     , router(routerOptions(this->options, this->context.get_executor()))
     , runner(this->context.get_executor(), this->router, this->options.log)
+    , rates(this->context.get_executor(), this->options.deployment.daemonId, this->router.peerClient())
     , sessionContext(std::make_shared<SessionContext>())
 {
     this->sessionContext->executor = this->context.get_executor();
@@ -119,6 +120,10 @@
         const std::shared_ptr<const Configuration> known = this->view->configuration;
         co_return net::HttpResponse{.status = StatusOk, .body = known == nullptr ? std::string() : known->text};
     }
+    if (request.target == RatePath) {
+        const boost::json::object body = core::valueOrThrow([&request] { return core::parseJsonObject(request.body); });
+        co_return net::jsonResponse(StatusOk, this->rates.serve(body));
+    }
     if (request.target != WorkPath) {
         co_return net::errorResponse(core::ResultCode::UnknownPath, core::Outcome::NotRun, request.target);
     }
@@ -138,13 +143,14 @@
         this->sessionContext->view = newView;
         this->router.setView(newView);
         this->runner.setView(newView);
+        this->rates.setView(newView);
         if (changedRates) {
             this->updateRates();
         }
     });
 }
 
-void TrafficCore::publishShares(std::shared_ptr<const RateShares> newShares)
+void TrafficCore::publishShares(std::shared_ptr<const DaemonShares> newShares)
 {
     asio::post(this->context, [this, newShares = std::move(newShares)] {
         this->shares = newShares;
@@ -155,7 +161,7 @@
 void TrafficCore::updateRates()
 {
     if (this->view->configuration != nullptr) {
-        this->rates.update(*this->view->configuration, *this->shares, core::Clock::now());
+        this->rates.gate().update(*this->view->configuration, *this->shares, core::Clock::now());
     }
 }
 
@@ -167,7 +173,7 @@
 net::awaitable<std::map<std::string, std::uint64_t, std::less<>>> TrafficCore::takeDemand()
 {
     const auto take = [this]() -> net::awaitable<std::map<std::string, std::uint64_t, std::less<>>> {
-        co_return this->rates.takeDemand();
+        co_return this->rates.gate().takeDemand();
     };
     co_return co_await asio::co_spawn(this->context, take, asio::use_awaitable);
 }
--- a/gateway/trafficcore.h
+++ b/gateway/trafficcore.h
@@ -38,7 +38,7 @@
     void stop();
 
     void publish(std::shared_ptr<const GatewayView> view);
-    void publishShares(std::shared_ptr<const RateShares> shares);
+    void publishShares(std::shared_ptr<const DaemonShares> shares);
 
     /// Runs WorkRouter::ask() on the traffic thread. May be awaited on any executor.
     net::awaitable<pooling::UnitResult> ask(pooling::WorkUnit unit);
@@ -66,10 +66,10 @@
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard;
     WorkRouter router;
     OperationRunner runner;
-    RateGate rates;
+    RateClient rates;
     std::shared_ptr<SessionContext> sessionContext;
     std::shared_ptr<const GatewayView> view = std::make_shared<GatewayView>();
-    std::shared_ptr<const RateShares> shares = std::make_shared<RateShares>();
+    std::shared_ptr<const DaemonShares> shares = std::make_shared<DaemonShares>();
     std::optional<boost::asio::ip::tcp::acceptor> acceptor;
     std::shared_ptr<net::PeerServer> peerServer;
     std::set<std::shared_ptr<CallerSession>> sessions;
--- a/gateway/workrouter.cpp
+++ b/gateway/workrouter.cpp
@@ -296,6 +296,11 @@
     return found == this->byServer.end() ? std::nullopt : found->second->lastAnswer();
 }
 
+net::PeerClient &WorkRouter::peerClient()
+{
+    return this->peers;
+}
+
 const WorkRouter::PoolMap &WorkRouter::pools() const
 {
     return this->byServer;
--- a/gateway/workrouter.h
+++ b/gateway/workrouter.h
@@ -53,6 +53,9 @@
     /// When @p server last answered this daemon, if it did.
     std::optional<core::TimePoint> lastAnswer(std::string_view server) const;
 
+    /// Connections to other daemons, for requests besides units of work.
+    net::PeerClient &peerClient();
+
     using PoolMap = std::map<std::string, std::shared_ptr<PooledServer>, std::less<>>;
     const PoolMap &pools() const;
 
--- a/limits/demandshares.cpp
+++ b/limits/demandshares.cpp
@@ -87,18 +87,56 @@
     if (!this->isIntroduced(now)) {
         return this->options.initialShare;
     }
-    const double wanted = demandFor(this->own, workspace);
-    double total = wanted;
+    return this->shareFor(demandFor(this->own, workspace),
+                          this->totalDemand(workspace, now),
+                          ratePerSecond,
+                          1,
+                          static_cast<double>(this->holders(now)));
+}
+
+double DemandShares::groupShare(std::string_view workspace,
+                                double ratePerSecond,
+                                const std::set<std::string, std::less<>> &reporters,
+                                core::TimePoint now) const
+{
+    if (ratePerSecond <= 0 || !this->isEntitled(now)) {
+        return 0;
+    }
+    if (!this->isIntroduced(now)) {
+        return this->options.initialShare;
+    }
+    double wanted = demandFor(this->own, workspace);
+    std::size_t daemons = 1;
+    for (const auto &[reporter, report] : this->reports) {
+        if (reporters.contains(reporter) && this->holdsShare(reporter, report, now)) {
+            wanted += demandFor(report.demand, workspace);
+            daemons += report.daemons;
+        }
+    }
+    return this->shareFor(wanted,
+                          this->totalDemand(workspace, now),
+                          ratePerSecond,
+                          static_cast<double>(daemons),
+                          static_cast<double>(this->holders(now)));
+}
+
+double DemandShares::totalDemand(std::string_view workspace, core::TimePoint now) const
+{
+    double total = demandFor(this->own, workspace);
     for (const auto &[reporter, report] : this->reports) {
         if (this->holdsShare(reporter, report, now)) {
             total += demandFor(report.demand, workspace);
         }
     }
-    const auto members = static_cast<double>(this->holders(now));
+    return total;
+}
+
+double DemandShares::shareFor(double wanted, double total, double ratePerSecond, double daemons, double all) const
+{
     if (total <= ratePerSecond) {
-        return (wanted + (ratePerSecond - total) / members) / ratePerSecond;
+        return (wanted + (ratePerSecond - total) * daemons / all) / ratePerSecond;
     }
-    return (1 - this->options.evenPart) * wanted / total + this->options.evenPart / members;
+    return (1 - this->options.evenPart) * wanted / total + this->options.evenPart * daemons / all;
 }
 
 }
--- a/limits/demandshares.h
+++ b/limits/demandshares.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -56,6 +57,12 @@
     /// Part of the rate of @p workspace, from 0 to 1, that this daemon may spend.
     double share(std::string_view workspace, double ratePerSecond, core::TimePoint now) const;
 
+    /// Part of the rate that this daemon and the daemons behind @p reporters may spend together.
+    double groupShare(std::string_view workspace,
+                      double ratePerSecond,
+                      const std::set<std::string, std::less<>> &reporters,
+                      core::TimePoint now) const;
+
     /// Daemons that have a share, this one included.
     std::size_t holders(core::TimePoint now) const;
 
@@ -71,6 +78,9 @@
     bool isIntroduced(core::TimePoint now) const;
     bool isEntitled(core::TimePoint now) const;
 
+    double shareFor(double wanted, double total, double ratePerSecond, double daemons, double all) const;
+    double totalDemand(std::string_view workspace, core::TimePoint now) const;
+
     std::string self;
     core::TimePoint startedAt;
     DemandSharesOptions options;
--- a/tests/gateway/test_rategate.cpp
+++ b/tests/gateway/test_rategate.cpp
@@ -23,7 +23,7 @@
 TEST(RateGate, SpendsNoMoreThanItsShare)
 {
     RateGate gate;
-    gate.update(configuration(100, 100), {{"w", 0.25}}, Start);
+    gate.update(configuration(100, 100), {.own = {{"w", 0.25}}}, Start);
     int taken = 0;
     for (core::Milliseconds time{0}; time < 4s; time += 1ms) {
         taken += gate.tryTake("w", Start + time) ? 1 : 0;
@@ -36,7 +36,7 @@
 TEST(RateGate, OperationThatNoServerRanIsGivenBack)
 {
     RateGate gate;
-    gate.update(configuration(1, 1), {{"w", 1}}, Start);
+    gate.update(configuration(1, 1), {.own = {{"w", 1}}}, Start);
     for (int attempt = 0; attempt < 10; ++attempt) {
         ASSERT_TRUE(gate.tryTake("w", Start));
         gate.giveBack("w");
@@ -49,8 +49,8 @@
 TEST(RateGate, RemovedWorkspaceMayNotStartAnything)
 {
     RateGate gate;
-    gate.update(configuration(100, 100), {{"w", 1}}, Start);
-    gate.update(Configuration(), {{"w", 1}}, Start);
+    gate.update(configuration(100, 100), {.own = {{"w", 1}}}, Start);
+    gate.update(Configuration(), {.own = {{"w", 1}}}, Start);
     EXPECT_FALSE(gate.tryTake("w", Start));
     EXPECT_EQ(gate.timeUntilNext("w", Start), core::Duration::max());
 }
