--- a/gateway/operationrunner.cpp
+++ b/gateway/operationrunner.cpp
@@ -25,6 +25,9 @@
 /// Part of the latency objective for which a statement is held while no server can run it, for example during a change
 /// of primary. Later the caller does better elsewhere.
 constexpr double HoldPart = 0.8;
+/// Part of the latency objective for which a statement is held while the servers that could run it have full queues.
+/// Waiting longer there only makes others wait, and the caller may come back when the load is lower.
+constexpr double OverloadHoldPart = 0.35;
 /// Part of the latency objective after which a read without an answer is tried at another server.
 constexpr double ReadPatiencePart = 0.4;
 /// Servers that a read is tried at after its answer was lost.
@@ -41,6 +44,8 @@
 constexpr int ProofRenewalPart = 2;
 constexpr std::chrono::seconds ProofInterest{3};
 constexpr std::chrono::milliseconds ProofLimit{500};
+/// A statement that comes late to its server, for example after a change of primary, may still wait this long there.
+constexpr std::chrono::milliseconds ShortestQueueLimit{60};
 
 std::chrono::milliseconds milliseconds(core::Duration duration)
 {
@@ -162,6 +167,8 @@
     const auto readPatience
         = std::chrono::duration_cast<core::Milliseconds>(context.route.latencyObjective * ReadPatiencePart);
     core::TimePoint holdUntil = context.startedAt + hold;
+    const core::TimePoint overloadUntil = context.startedAt
+        + std::chrono::duration_cast<core::Duration>(context.route.latencyObjective * OverloadHoldPart);
     int lostReads = 0;
     StatementOutcome outcome;
     outcome.result = {.outcome = UnitOutcome::NotRun, .error = UnitError::QueueFull, .errorText = "no server"};
@@ -188,7 +195,7 @@
         next.values = *context.values;
         next.minimumPosition = plan->minimum;
         next.priority = context.route.priority;
-        next.queueLimit = std::max(milliseconds(holdUntil - now), std::chrono::milliseconds(1));
+        next.queueLimit = std::max(milliseconds(std::min(holdUntil, overloadUntil) - now), ShortestQueueLimit);
         next.statementLimit = context.route.statementTimeout;
         if (readOnly && lostReads + 1 < ReadAttempts) {
             next.statementLimit = std::min(next.statementLimit, readPatience);
@@ -215,6 +222,7 @@
         case UnitError::QueueFull:
         case UnitError::ServerBusy:
             this->penalise(server, QueuePenalty);
+            holdUntil = std::min(holdUntil, overloadUntil);
             break;
         case UnitError::NoAnswer:
             // The server is up but this answer is lost; another one may be quicker than the caller's next attempt.
