--- a/gateway/pooledserver.cpp
+++ b/gateway/pooledserver.cpp
@@ -36,6 +36,8 @@
 /// After a refusal by the server's connection limit only open connections are used for this long. A server drops the
 /// connections of a daemon that went dark after 3 s, those of one that ended at once.
 constexpr std::chrono::milliseconds ConnectionRefusalHold{250};
+/// A server that has answered within this time runs, whatever happens to new connections.
+constexpr std::chrono::milliseconds AnswerLife{400};
 /// Idle connections are closed well before the server does, which would lose a write that is on its way.
 constexpr std::chrono::seconds IdleConnectionLife{20};
 constexpr std::size_t LeaseIdBytes = 8;
@@ -317,12 +319,18 @@
             reply = co_await opened->link->open(std::move(target), OpenTimeout);
         } catch (const core::Error &error) {
             failure = error.message;
-            this->unreachableUntil = core::Clock::now() + UnreachableHold;
         }
     }
     if (!failure.empty()) {
         ++this->counts.openFailures;
         this->book.remove(opened->id);
+        // An overloaded server drops new connections while it goes on answering on those that it has.
+        const core::TimePoint now = core::Clock::now();
+        if (this->answeredAt && now - *this->answeredAt<AnswerLife &&this->book.open()> 0) {
+            this->book.refuseNew(now + ConnectionRefusalHold);
+            co_return notRun(UnitError::ConnectionLimit, failure);
+        }
+        this->unreachableUntil = now + UnreachableHold;
         co_return notRun(UnitError::Unreachable, failure);
     }
     if (reply.isError) {
@@ -334,7 +342,9 @@
         co_return notRun(reply.error == UnitError::Other ? UnitError::Unreachable : reply.error, reply.errorText);
     }
     ++this->counts.opened;
+    this->book.opened(opened->id);
     this->noteAnswer();
+    this->dispatch();
     out = std::move(opened);
     co_return Result{.outcome = UnitOutcome::Done};
 }
--- a/pooling/connectionbook.cpp
+++ b/pooling/connectionbook.cpp
@@ -8,6 +8,9 @@
 
 /// One connection in this many is kept for single statements.
 constexpr unsigned SingleStatementPart = 5;
+/// Connections opened at a time. Each occupies a slot of the server for a while, so a storm of them would stop all
+/// else.
+constexpr std::size_t MaximumOpenings = 3;
 
 }
 
@@ -48,7 +51,8 @@
 
 bool ConnectionBook::hasFree() const
 {
-    return this->used < this->currentLimit();
+    const bool hasIdle = this->connections.size() > this->used;
+    return this->used < this->currentLimit() && (hasIdle || this->openings < MaximumOpenings);
 }
 
 bool ConnectionBook::hasFreeForTransaction() const
@@ -102,7 +106,8 @@
             this->connections.erase(*choice.evicted);
         }
         choice.connection = ++this->lastId;
-        this->connections.emplace(choice.connection, Entry{.workspace = std::string(workspace)});
+        this->connections.emplace(choice.connection, Entry{.workspace = std::string(workspace), .opening = true});
+        ++this->openings;
     }
     Entry &entry = this->connections.at(choice.connection);
     entry.inUse = true;
@@ -112,12 +117,22 @@
     return choice;
 }
 
+void ConnectionBook::opened(ConnectionId connection)
+{
+    const auto found = this->connections.find(connection);
+    if (found != this->connections.end() && found->second.opening) {
+        found->second.opening = false;
+        --this->openings;
+    }
+}
+
 void ConnectionBook::release(ConnectionId connection, core::TimePoint now)
 {
     const auto found = this->connections.find(connection);
     if (found == this->connections.end() || !found->second.inUse) {
         return;
     }
+    this->opened(connection);
     Entry &entry = found->second;
     entry.inUse = false;
     entry.lastUsed = now;
@@ -132,6 +147,7 @@
     if (found == this->connections.end()) {
         return;
     }
+    this->opened(connection);
     if (found->second.inUse) {
         --this->used;
         this->transactions -= found->second.forTransaction ? 1 : 0;
--- a/pooling/connectionbook.h
+++ b/pooling/connectionbook.h
@@ -52,6 +52,9 @@
     /// Takes a connection for @p workspace, preferring the idle one used last; nothing if all are in use.
     std::optional<ConnectionChoice> take(std::string_view workspace, bool forTransaction);
 
+    /// The connection has been opened. Until then it counts as being opened.
+    void opened(ConnectionId connection);
+
     /// The connection is idle again.
     void release(ConnectionId connection, core::TimePoint now);
 
@@ -70,6 +73,7 @@
         std::string workspace;
         bool inUse = false;
         bool forTransaction = false;
+        bool opening = false;
         core::TimePoint lastUsed;
     };
 
@@ -84,6 +88,7 @@
     ConnectionId lastId = 0;
     std::size_t used = 0;
     std::size_t transactions = 0;
+    std::size_t openings = 0;
     std::map<ConnectionId, Entry> connections;
 };
 
--- a/tests/document/test_operationspage.cpp
+++ b/tests/document/test_operationspage.cpp
@@ -10,11 +10,11 @@
 
 namespace {
 
-/// First block of docs/operations.md that is marked as JSON.
+/// First block of docs/OPERATIONS.md that is marked as JSON.
 std::string sampleOnPage()
 {
     const std::filesystem::path root = std::filesystem::path(__FILE__).parent_path().parent_path().parent_path();
-    std::ifstream page(root / "docs" / "operations.md");
+    std::ifstream page(root / "docs" / "OPERATIONS.md");
     std::stringstream text;
     text << page.rdbuf();
     const std::string start = "```json\n";
--- /dev/null
+++ b/tests/gateway/test_daemonlease.cpp
@@ -0,0 +1,125 @@
+#include "gateway/daemonlease.h"
+
+#include "tests/gateway/fakemetadatastore.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <gtest/gtest.h>
+
+#include <functional>
+
+namespace endiveshore::gateway {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+class DaemonLeaseTest : public testing::Test
+{
+protected:
+    struct Daemon
+    {
+        std::shared_ptr<DaemonLease> lease;
+        std::uint64_t elected = 0;
+        int lost = 0;
+    };
+
+    std::shared_ptr<Daemon> startDaemon(const std::string &id)
+    {
+        auto daemon = std::make_shared<Daemon>();
+        DaemonLeaseCallbacks callbacks{.onContact = [] {},
+                                       .onElected = [daemon](std::uint64_t revision) { daemon->elected = revision; },
+                                       .onDutyLost = [daemon](const std::string &) { ++daemon->lost; }};
+        daemon->lease = std::make_shared<DaemonLease>(this->context.get_executor(),
+                                                      this->store,
+                                                      DaemonLeaseOptions{.daemonId = id, .registration = "{}"},
+                                                      std::move(callbacks),
+                                                      this->log);
+        daemon->lease->onStoreRead();
+        boost::asio::co_spawn(this->context, daemon->lease->run(), boost::asio::detached);
+        return daemon;
+    }
+
+    /// What the watch would report of the duty's key.
+    void report(const Daemon &daemon)
+    {
+        const auto found = this->store->items.find(DaemonLease::dutyKey());
+        daemon.lease->onDutyItem(
+            found == this->store->items.end()
+                ? MetadataItem{.key = DaemonLease::dutyKey(), .revision = this->store->revision, .isRemoved = true}
+                : found->second);
+    }
+
+    void runUntil(const std::function<bool()> &done)
+    {
+        const core::TimePoint giveUp = core::Clock::now() + 5s;
+        while (!done() && core::Clock::now() < giveUp) {
+            this->context.restart();
+            this->context.run_for(5ms);
+        }
+        EXPECT_TRUE(done());
+    }
+
+    boost::asio::io_context context;
+    telemetry::DecisionLog log{telemetry::LogOptions{.level = telemetry::LogLevel::Error, .output = "stderr"}};
+    std::shared_ptr<FakeMetadataStore> store = std::make_shared<FakeMetadataStore>();
+};
+
+}
+
+// Guards against two holders of the promotion duty.
+TEST_F(DaemonLeaseTest, OneOfTwoDaemonsIsElected)
+{
+    const auto first = this->startDaemon("a");
+    const auto second = this->startDaemon("b");
+    this->runUntil([&] { return first->elected + second->elected > 0; });
+    this->runUntil([start = core::Clock::now()] { return core::Clock::now() - start > 600ms; });
+    EXPECT_NE(first->elected == 0, second->elected == 0);
+    EXPECT_NE(first->lease->holdsDuty(), second->lease->holdsDuty());
+}
+
+// Guards against a duty that nobody does until the lease ends, because the answer to the election was lost.
+TEST_F(DaemonLeaseTest, ElectionWithoutAnswerIsRecognisedByItsLease)
+{
+    const auto daemon = this->startDaemon("a");
+    this->runUntil([&] { return this->store->items.contains(DaemonLease::registrationPrefix() + "a"); });
+    this->store->loseSwapAnswers = 1;
+    this->runUntil([&] { return this->store->items.contains(DaemonLease::dutyKey()); });
+    EXPECT_EQ(daemon->elected, 0U);
+    this->report(*daemon);
+    EXPECT_EQ(daemon->elected, this->store->items.at(DaemonLease::dutyKey()).revision);
+}
+
+// Guards against a former holder that goes on after its lease has ended and another daemon was elected.
+TEST_F(DaemonLeaseTest, HolderWhoseLeaseEndedLosesTheDuty)
+{
+    const auto daemon = this->startDaemon("a");
+    this->runUntil([&] { return daemon->elected != 0; });
+    this->store->expire(this->store->items.at(DaemonLease::dutyKey()).lease);
+    this->runUntil([&] { return daemon->lost == 1; });
+    EXPECT_FALSE(daemon->lease->holdsDuty());
+}
+
+// Guards against a holder that counts its lease from an answer that never came: it holds no longer than the lease.
+TEST_F(DaemonLeaseTest, HolderDoesNotOutlastItsLeaseWhileTheStoreIsAway)
+{
+    const auto daemon = this->startDaemon("a");
+    this->runUntil([&] { return daemon->elected != 0; });
+    this->store->down = true;
+    this->runUntil([&] { return !daemon->lease->holdsDuty(); });
+    EXPECT_TRUE(daemon->lease->wasElected());
+}
+
+// Guards against a planned stop that leaves the duty to nobody for the rest of the lease.
+TEST_F(DaemonLeaseTest, StoppingHolderGivesTheDutyUpAtOnce)
+{
+    const auto daemon = this->startDaemon("a");
+    this->runUntil([&] { return daemon->elected != 0; });
+    boost::asio::co_spawn(this->context, daemon->lease->stop(), boost::asio::detached);
+    this->runUntil([&] { return !this->store->items.contains(DaemonLease::dutyKey()); });
+    EXPECT_EQ(daemon->lost, 1);
+}
+
+}
--- a/tests/gateway/test_pooledserver.cpp
+++ b/tests/gateway/test_pooledserver.cpp
@@ -201,6 +201,24 @@
     EXPECT_EQ(this->backend->mostOpen, 1U);
 }
 
+// Guards against an overloaded server being taken for a dead one: it drops new connections while it answers on open
+// ones. Units then moved to other daemons, which opened still more, and the primary was replaced (incident inc-0eae).
+TEST_F(PooledServerTest, ServerThatAnswersButAcceptsNoConnectionIsNotUnreachable)
+{
+    this->backend->work = 20ms;
+    EXPECT_EQ(this->run(unit(UnitKind::Write, "WRITE 1 x")).outcome, UnitOutcome::Done);
+    this->backend->refuse = 100;
+    for (int index = 0; index < 4; ++index) {
+        WorkUnit other = unit(UnitKind::Write, "WRITE 1 x");
+        other.workspace = "north";
+        this->start(std::to_string(index), std::move(other));
+    }
+    this->runUntil([this] { return this->results.size() == 4; });
+    for (const auto &[name, result] : this->results) {
+        EXPECT_EQ(result.outcome, UnitOutcome::Done) << name << ' ' << result.errorText;
+    }
+}
+
 // Guards against more statements at a server than its slots and one ahead, which it would refuse under load.
 TEST_F(PooledServerTest, SlotsAreNotExceeded)
 {
--- /dev/null
+++ b/tests/gateway/test_promotionduty.cpp
@@ -0,0 +1,175 @@
+#include "gateway/promotionduty.h"
+
+#include "platform/lineformat.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <gtest/gtest.h>
+
+#include <deque>
+
+namespace endiveshore::gateway {
+
+using namespace std::chrono_literals;
+using pooling::UnitError;
+using pooling::UnitKind;
+using pooling::UnitOutcome;
+using pooling::UnitResult;
+
+namespace {
+
+class FakePromotions : public PromotionService
+{
+public:
+    net::awaitable<PromotionAnswer> promote(PromotionOrder order, core::Duration) override
+    {
+        this->orders.push_back(order);
+        PromotionAnswer answer = PromotionAnswer::Accepted;
+        if (!this->answers.empty()) {
+            answer = this->answers.front();
+            this->answers.pop_front();
+        }
+        co_return answer;
+    }
+
+    std::vector<PromotionOrder> orders;
+    std::deque<PromotionAnswer> answers;
+};
+
+class PromotionDutyTest : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        GatewayView view;
+        for (const char *id : {"a", "b", "c"}) {
+            view.servers.emplace(id, BackendServer{.id = id, .service = "db", .slots = 5});
+        }
+        view.primaries.emplace("db", "a");
+        this->view = std::make_shared<const GatewayView>(view);
+        PromotionDutySurroundings surroundings{
+            .ask = [this](pooling::WorkUnit unit) { return this->ask(std::move(unit)); },
+            .view = [this] { return this->view; },
+            .mayAct = [this] { return this->mayAct; },
+            .onPromoted
+            = [this](const std::string &, const std::string &server, std::uint64_t) { this->promoted = server; },
+            .onDenied = [](const std::string &, const std::string &) {},
+            .onFenced = [this] { ++this->fenced; },
+            .readStatus = platform::readStatus};
+        this->duty = std::make_shared<PromotionDuty>(
+            this->context.get_executor(), "daemon-1", this->orders, std::move(surroundings), this->log);
+    }
+
+    net::awaitable<UnitResult> ask(pooling::WorkUnit unit)
+    {
+        if (unit.kind == UnitKind::Status) {
+            co_return UnitResult{.outcome = UnitOutcome::Done, .rows = {this->statuses[unit.server]}};
+        }
+        const bool isPromoted = !this->orders->orders.empty() && unit.server == this->orders->orders.back().server;
+        const UnitError error = isPromoted ? UnitError::None : this->primaryError;
+        co_return UnitResult{.outcome = error == UnitError::None ? UnitOutcome::Done : UnitOutcome::NotRun,
+                             .error = error};
+    }
+
+    void run(core::Duration time)
+    {
+        this->context.restart();
+        this->context.run_for(time);
+    }
+
+    boost::asio::io_context context;
+    telemetry::DecisionLog log{telemetry::LogOptions{.level = telemetry::LogLevel::Error, .output = "stderr"}};
+    std::shared_ptr<FakePromotions> orders = std::make_shared<FakePromotions>();
+    std::shared_ptr<const GatewayView> view;
+    std::shared_ptr<PromotionDuty> duty;
+    std::map<std::string, std::string> statuses{{"b", "replica 3 3.90 0 5 0 1"}, {"c", "replica 3 3.97 0 5 0 1"}};
+    UnitError primaryError = UnitError::None;
+    std::string promoted;
+    bool mayAct = true;
+    int fenced = 0;
+};
+
+}
+
+TEST_F(PromotionDutyTest, DeadPrimaryIsReplacedByTheMostAdvancedReplica)
+{
+    this->primaryError = UnitError::Unreachable;
+    this->duty->start(41);
+    this->run(600ms);
+    ASSERT_FALSE(this->orders->orders.empty());
+    EXPECT_EQ(this->orders->orders.front().server, "c");
+    EXPECT_EQ(this->orders->orders.front().holder, "daemon-1");
+    EXPECT_GT(this->orders->orders.front().fence, 4'100'000U);
+    EXPECT_EQ(this->promoted, "c");
+}
+
+// Guards against a change of primary because the primary is busy.
+TEST_F(PromotionDutyTest, BusyPrimaryIsNotReplaced)
+{
+    for (const UnitError error : {UnitError::QueueFull, UnitError::ServerBusy, UnitError::ConnectionLimit}) {
+        this->primaryError = error;
+        this->duty->start(41);
+        this->run(500ms);
+        this->duty->stop();
+        EXPECT_TRUE(this->orders->orders.empty());
+    }
+}
+
+// Guards against a late order that is carried out after a newer decision: the repeated order is the same decision.
+TEST_F(PromotionDutyTest, UnansweredOrderIsRepeatedWithTheSameFenceAndTarget)
+{
+    this->primaryError = UnitError::ConnectionLost;
+    this->orders->answers = {PromotionAnswer::Unknown, PromotionAnswer::Busy};
+    this->duty->start(41);
+    this->run(900ms);
+    ASSERT_EQ(this->orders->orders.size(), 3U);
+    for (const PromotionOrder &order : this->orders->orders) {
+        EXPECT_EQ(order.fence, this->orders->orders.front().fence);
+        EXPECT_EQ(order.server, "c");
+    }
+}
+
+// Guards against a holder that goes on ordering although another one has used a higher fence.
+TEST_F(PromotionDutyTest, RefusedOrderIsReported)
+{
+    this->primaryError = UnitError::Unreachable;
+    this->orders->answers = {PromotionAnswer::Refused};
+    this->duty->start(41);
+    this->run(400ms);
+    EXPECT_EQ(this->fenced, 1);
+    EXPECT_TRUE(this->promoted.empty());
+}
+
+// Guards against a second change of primary after one whose news has not arrived.
+TEST_F(PromotionDutyTest, ServerThatLeadsAlreadyIsTakenOver)
+{
+    this->primaryError = UnitError::Unreachable;
+    this->statuses["b"] = "primary 4 4.99 0 0 0 1";
+    this->duty->start(41);
+    this->run(400ms);
+    EXPECT_TRUE(this->orders->orders.empty());
+    EXPECT_EQ(this->promoted, "b");
+}
+
+TEST_F(PromotionDutyTest, LeavingPrimaryIsReplaced)
+{
+    GatewayView leaving = *this->view;
+    leaving.servers.at("a").isLeaving = true;
+    this->view = std::make_shared<const GatewayView>(leaving);
+    this->duty->start(41);
+    this->run(300ms);
+    ASSERT_FALSE(this->orders->orders.empty());
+    EXPECT_EQ(this->orders->orders.front().server, "c");
+}
+
+// Guards against orders of a daemon whose lease may have passed to another one.
+TEST_F(PromotionDutyTest, NothingIsOrderedWithoutTheDuty)
+{
+    this->primaryError = UnitError::Unreachable;
+    this->mayAct = false;
+    this->duty->start(41);
+    this->run(500ms);
+    EXPECT_TRUE(this->orders->orders.empty());
+}
+
+}
--- a/tests/pooling/test_connectionbook.cpp
+++ b/tests/pooling/test_connectionbook.cpp
@@ -46,7 +46,9 @@
 {
     ConnectionBook book(10);
     while (book.hasFreeForTransaction()) {
-        ASSERT_TRUE(book.take("a", true));
+        const std::optional<ConnectionChoice> taken = book.take("a", true);
+        ASSERT_TRUE(taken);
+        book.opened(taken->connection);
     }
     EXPECT_EQ(book.inUse(), 8U);
     EXPECT_FALSE(book.take("a", true));
@@ -94,4 +96,19 @@
     });
 }
 
+// Guards against a storm of new connections, each of which occupies a slot of the server.
+TEST(ConnectionBook, FewConnectionsAreOpenedAtATime)
+{
+    ConnectionBook book(20);
+    std::optional<ConnectionChoice> last;
+    int opening = 0;
+    while (book.hasFree()) {
+        last = book.take("a", false);
+        ++opening;
+    }
+    EXPECT_EQ(opening, 3);
+    book.opened(last->connection);
+    EXPECT_TRUE(book.hasFree());
+}
+
 }
--- a/tests/telemetry/test_metrics.cpp
+++ b/tests/telemetry/test_metrics.cpp
@@ -102,7 +102,7 @@
 TEST(Metrics, OperationsPageListsEveryMetric)
 {
     const std::filesystem::path root = std::filesystem::path(__FILE__).parent_path().parent_path().parent_path();
-    std::ifstream file(root / "docs" / "operations.md");
+    std::ifstream file(root / "docs" / "OPERATIONS.md");
     std::stringstream page;
     page << file.rdbuf();
     for (const MetricInfo &info : metricTable()) {
