Let the fake surroundings of the promotion duty act as the daemon does

The two tests of unanswered and refused orders failed in the commit before: their surroundings kept the dead primary in the view after the promotion and went on holding the duty after a refusal, so the duty rightly ordered again.

--- a/tests/gateway/test_promotionduty.cpp
+++ b/tests/gateway/test_promotionduty.cpp
@@ -51,10 +51,20 @@
             .ask = [this](pooling::WorkUnit unit) { return this->ask(std::move(unit)); },
             .view = [this] { return this->view; },
             .mayAct = [this] { return this->mayAct; },
-            .onPromoted
-            = [this](const std::string &, const std::string &server, std::uint64_t) { this->promoted = server; },
+            .onPromoted =
+                [this](const std::string &service, const std::string &server, std::uint64_t) {
+                    this->promoted = server;
+                    GatewayView next = *this->view;
+                    next.primaries[service] = server;
+                    this->view = std::make_shared<const GatewayView>(next);
+                },
             .onDenied = [](const std::string &, const std::string &) {},
-            .onFenced = [this] { ++this->fenced; },
+            .onFenced =
+                [this] {
+                    // The daemon gives the duty up when its lease has ended as well.
+                    ++this->fenced;
+                    this->duty->stop();
+                },
             .readStatus = platform::readStatus};
         this->duty = std::make_shared<PromotionDuty>(
             this->context.get_executor(), "daemon-1", this->orders, std::move(surroundings), this->log);
