--- a/gateway/daemonlease.cpp
+++ b/gateway/daemonlease.cpp
@@ -84,8 +84,7 @@
         } catch (const core::Error &error) {
             this->log.line("lease_not_renewed", telemetry::LogLevel::Warning).field("reason", error.message);
         }
-        const bool registered = this->registration != 0;
-        asio::steady_timer pause(this->executor, registered ? RegistrationRenewal : ElectionRetry);
+        asio::steady_timer pause(this->executor, RegistrationRenewal);
         co_await pause.async_wait(UseTuple);
     }
 }
--- a/gateway/metadatasync.cpp
+++ b/gateway/metadatasync.cpp
@@ -21,9 +21,11 @@
 constexpr std::chrono::milliseconds ReadTimeout{1'500};
 constexpr std::chrono::milliseconds FirstRetry{100};
 constexpr std::chrono::milliseconds LastRetry{800};
+/// In a large fleet the last retry is longer by this for each daemon: a store in trouble is not asked the more often.
+constexpr std::chrono::milliseconds RetryPerWatcher{10};
 /// Pause between two watches for each daemon that watches.
-constexpr std::chrono::milliseconds PausePerWatcher{12};
-constexpr std::chrono::milliseconds LongestPause{1'000};
+constexpr std::chrono::milliseconds PausePerWatcher{15};
+constexpr std::chrono::milliseconds LongestPause{1'200};
 /// Entries that expired while the store was away come back within two seconds of its return.
 constexpr std::chrono::milliseconds RemovalDelay{2'200};
 
@@ -68,7 +70,7 @@
         }
         asio::steady_timer pause(this->executor, retry);
         co_await pause.async_wait(UseTuple);
-        retry = std::min(retry * 2, LastRetry);
+        retry = std::min(retry * 2, LastRetry + static_cast<int>(this->watchers) * RetryPerWatcher);
     }
 }
 
--- /dev/null
+++ b/tests/gateway/test_callersession.cpp
@@ -0,0 +1,320 @@
+#include "gateway/callersession.h"
+
+#include "platform/lineformat.h"
+#include "tests/gateway/fakebackend.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <gtest/gtest.h>
+
+#include <functional>
+
+namespace endiveshore::gateway {
+
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+/// One daemon's sessions, router and pools over servers in memory; callers connect over loopback.
+class CallerSessionTest : public testing::Test
+{
+protected:
+    struct Caller
+    {
+        explicit Caller(asio::io_context &context)
+            : socket(context)
+        {
+        }
+        asio::ip::tcp::socket socket;
+        std::string input;
+    };
+
+    void SetUp() override
+    {
+        for (const char *id : {"p", "r"}) {
+            this->backends[id] = std::make_shared<FakeBackend>();
+        }
+        this->backends["r"]->leads = false;
+        Configuration made;
+        made.version = 1;
+        const Route route{.service = "db",
+                          .statementTimeout = 400ms,
+                          .latencyObjective = 500ms,
+                          .maximumAge = 2'000ms,
+                          .priority = 1};
+        made.routes["bookings"] = route;
+        made.routes["returns"] = route;
+        made.routes["returns"].kind = RouteKind::Session;
+        made.services["db"] = {.name = "db", .connectionLimit = 20};
+        made.workspaces["north"] = {.name = "north", .limits = {.ratePerSecond = 1'000, .burst = 1'000}};
+        made.workspaceByKey["k1"] = "north";
+        made.transactionIdle = 3'000ms;
+        this->configuration = made;
+        Deployment deployment;
+        deployment.daemonId = "d";
+        this->router = std::make_unique<WorkRouter>(WorkRouterOptions{
+            .executor = this->context.get_executor(),
+            .deployment = deployment,
+            .links = [this](const net::Executor &executor) { return std::make_unique<RoutedLink>(executor, *this); }});
+        this->runner = std::make_unique<OperationRunner>(this->context.get_executor(), *this->router, nullptr);
+        this->rates = std::make_unique<RateClient>(this->context.get_executor(), "d", this->router->peerClient());
+        this->shared = std::make_shared<SessionContext>();
+        this->shared->executor = this->context.get_executor();
+        this->shared->protocol = &this->protocol;
+        this->shared->runner = this->runner.get();
+        this->shared->rates = this->rates.get();
+        this->shared->view = std::make_shared<GatewayView>();
+        this->acceptor.emplace(this->context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    }
+
+    /// Chooses the server in memory by the id that the link is opened for.
+    class RoutedLink : public ServerLink
+    {
+    public:
+        RoutedLink(net::Executor executor, CallerSessionTest &test)
+            : executor(std::move(executor))
+            , test(test)
+        {
+        }
+
+        net::awaitable<ServerReply> open(LinkTarget target, core::Duration timeout) override
+        {
+            this->link = std::make_unique<FakeLink>(this->executor, this->test.backends.at(target.serverId));
+            co_return co_await this->link->open(std::move(target), timeout);
+        }
+
+        net::awaitable<std::vector<ServerReply>> exchange(std::vector<ServerCommand> commands,
+                                                          core::Duration timeout) override
+        {
+            co_return co_await this->link->exchange(std::move(commands), timeout);
+        }
+
+        bool isOpen() const override
+        {
+            return this->link != nullptr && this->link->isOpen();
+        }
+
+        void close() override
+        {
+            if (this->link != nullptr) {
+                this->link->close();
+            }
+        }
+
+    private:
+        net::Executor executor;
+        CallerSessionTest &test;
+        std::unique_ptr<FakeLink> link;
+    };
+
+    void publish()
+    {
+        GatewayView view;
+        view.configuration = std::make_shared<const Configuration>(this->configuration);
+        view.self = "d";
+        view.daemons["d"] = {.id = "d"};
+        for (const auto &[id, backend] : this->backends) {
+            view.servers[id] = {.id = id, .service = "db", .slots = 5, .claimsPrimary = id == "p"};
+            view.homes[id] = {"d"};
+        }
+        view.primaries["db"] = "p";
+        const auto published = std::make_shared<const GatewayView>(view);
+        this->router->setView(published);
+        this->runner->setView(published);
+        this->rates->setView(published);
+        this->rates->gate().update(this->configuration, {.own = {{"north", 1}}}, core::Clock::now());
+        this->shared->view = published;
+    }
+
+    std::shared_ptr<Caller> connect()
+    {
+        auto caller = std::make_shared<Caller>(this->context);
+        caller->socket.connect(this->acceptor->local_endpoint());
+        const auto session = std::make_shared<CallerSession>(this->acceptor->accept(), this->shared);
+        asio::co_spawn(
+            this->context, session->serve(), [session](const std::exception_ptr &failure) { EXPECT_FALSE(failure); });
+        return caller;
+    }
+
+    void send(Caller &caller, std::string_view line)
+    {
+        asio::write(caller.socket, asio::buffer(std::string(line) + "\r\n"));
+    }
+
+    /// Lines up to the one that says that the session is ready, or up to the end of the connection.
+    std::string receive(Caller &caller)
+    {
+        bool done = false;
+        std::string text;
+        std::function<void()> readNext = [&] {
+            asio::async_read_until(caller.socket,
+                                   asio::dynamic_buffer(caller.input),
+                                   '\n',
+                                   [&](const boost::system::error_code &error, std::size_t length) {
+                                       if (error) {
+                                           text += "closed";
+                                           done = true;
+                                           return;
+                                       }
+                                       const std::string line = caller.input.substr(0, length);
+                                       caller.input.erase(0, length);
+                                       text += line;
+                                       done = line.starts_with("READY");
+                                       if (!done) {
+                                           readNext();
+                                       }
+                                   });
+        };
+        readNext();
+        const core::TimePoint giveUp = core::Clock::now() + 4s;
+        while (!done && core::Clock::now() < giveUp) {
+            this->context.restart();
+            this->context.run_for(5ms);
+            this->router->tick(core::Clock::now());
+        }
+        EXPECT_TRUE(done) << text;
+        return text;
+    }
+
+    std::string ask(Caller &caller, std::string_view line)
+    {
+        this->send(caller, line);
+        return this->receive(caller);
+    }
+
+    std::shared_ptr<Caller> startSession(std::string_view database = "bookings")
+    {
+        auto caller = this->connect();
+        EXPECT_EQ(this->ask(*caller, "START " + std::string(database) + " k1"), "READY I -\r\n");
+        return caller;
+    }
+
+    asio::io_context context;
+    platform::CallerLines protocol;
+    std::map<std::string, std::shared_ptr<FakeBackend>> backends;
+    Configuration configuration;
+    std::unique_ptr<WorkRouter> router;
+    std::unique_ptr<OperationRunner> runner;
+    std::unique_ptr<RateClient> rates;
+    std::shared_ptr<SessionContext> shared;
+    std::optional<asio::ip::tcp::acceptor> acceptor;
+};
+
+}
+
+// Guards against a final refusal of callers that return to a daemon that has just started.
+TEST_F(CallerSessionTest, StartWaitsForTheConfiguration)
+{
+    const auto caller = this->connect();
+    this->send(*caller, "START bookings k1");
+    this->context.run_for(50ms);
+    this->publish();
+    EXPECT_EQ(this->receive(*caller), "READY I -\r\n");
+}
+
+TEST_F(CallerSessionTest, UnknownDatabaseAndKeyAreRefused)
+{
+    this->publish();
+    EXPECT_TRUE(this->ask(*this->connect(), "START nothing k1").starts_with("ERROR NODB"));
+    EXPECT_TRUE(this->ask(*this->connect(), "START bookings k2").starts_with("ERROR UNAUTH"));
+    EXPECT_TRUE(this->ask(*this->connect(), "QUERY 1 READ 1").starts_with("ERROR MALFORMED"));
+}
+
+// Guards against a withdrawn key that goes on working for callers already connected.
+TEST_F(CallerSessionTest, WithdrawnKeyStopsOnOpenSession)
+{
+    this->publish();
+    const auto caller = this->startSession();
+    EXPECT_TRUE(this->ask(*caller, "QUERY 1 WRITE 1 x").starts_with("COMPLETE signed"));
+    this->configuration.workspaceByKey.clear();
+    ++this->configuration.version;
+    this->publish();
+    EXPECT_TRUE(this->ask(*caller, "QUERY 2 WRITE 1 x").starts_with("ERROR UNAUTH"));
+    EXPECT_EQ(this->backends["p"]->statements().size(), 1U);
+}
+
+// Guards against a session that does not see its own write: the replica lacks it, so the primary answers.
+TEST_F(CallerSessionTest, SessionReadsItsOwnWrite)
+{
+    this->publish();
+    const auto caller = this->startSession("returns");
+    this->backends["p"]->position.position = 150;
+    EXPECT_TRUE(this->ask(*caller, "QUERY 1 WRITE 1 x").starts_with("COMPLETE signed"));
+    EXPECT_TRUE(this->ask(*caller, "QUERY 2 READ 1").starts_with("COMPLETE signed"));
+    EXPECT_EQ(this->backends["p"]->statements().back().id, "2");
+    for (const FakeBackend::Seen &seen : this->backends["r"]->statements()) {
+        EXPECT_NE(seen.id, "1");
+    }
+}
+
+// Guards against a commit that is acknowledged after a statement of its transaction has failed.
+TEST_F(CallerSessionTest, FailedTransactionCanOnlyBeEnded)
+{
+    this->publish();
+    const auto caller = this->startSession();
+    EXPECT_EQ(this->ask(*caller, "QUERY 1 BEGIN"), "COMPLETE -\r\nREADY T -\r\n");
+    EXPECT_TRUE(this->ask(*caller, "QUERY 2 WRITE 1 x").ends_with("READY T 3.100\r\n"));
+    this->backends["p"]->leads = false;
+    EXPECT_TRUE(this->ask(*caller, "QUERY 3 WRITE 1 x").ends_with("READY E -\r\n"));
+    EXPECT_TRUE(this->ask(*caller, "QUERY 4 READ 1").starts_with("ERROR MALFORMED"));
+    EXPECT_TRUE(this->ask(*caller, "QUERY 5 COMMIT").starts_with("ERROR ABORTED"));
+    EXPECT_TRUE(this->ask(*caller, "QUERY 6 SET a b").ends_with("READY I -\r\n"));
+    for (const FakeBackend::Seen &seen : this->backends["p"]->statements()) {
+        EXPECT_NE(seen.text, "COMMIT");
+    }
+}
+
+// Guards against a caller that leaves inside a transaction: it is rolled back and its connection serves others.
+TEST_F(CallerSessionTest, LeavingCallerRollsBack)
+{
+    this->publish();
+    auto caller = this->startSession();
+    this->ask(*caller, "QUERY 1 BEGIN");
+    this->ask(*caller, "QUERY 2 WRITE 1 x");
+    caller->socket.close();
+    this->context.restart();
+    this->context.run_for(100ms);
+    EXPECT_EQ(this->backends["p"]->seen.back().kind, CommandKind::Rollback);
+    EXPECT_EQ(this->router->pools().at("p")->openTransactions(), 0U);
+}
+
+// Guards against an operation over the rate that reaches a server, and against one that waits for its timeout.
+TEST_F(CallerSessionTest, OperationOverTheRateIsRefusedSoon)
+{
+    this->configuration.workspaces["north"].limits = {.ratePerSecond = 0.1, .burst = 1};
+    this->publish();
+    const auto caller = this->startSession();
+    EXPECT_TRUE(this->ask(*caller, "QUERY 1 WRITE 1 x").starts_with("COMPLETE signed"));
+    const core::TimePoint start = core::Clock::now();
+    EXPECT_TRUE(this->ask(*caller, "QUERY 2 WRITE 1 x").starts_with("ERROR BUSY"));
+    EXPECT_LT(core::Clock::now() - start, 150ms);
+    EXPECT_EQ(this->backends["p"]->statements().size(), 1U);
+}
+
+// Guards against an endless line that fills the memory, and against other callers losing their connection by it.
+TEST_F(CallerSessionTest, EndlessLineClosesOnlyItsConnection)
+{
+    this->publish();
+    const auto endless = this->startSession();
+    const auto other = this->startSession();
+    std::string block(64 * 1024, 'x');
+    endless->socket.non_blocking(true);
+    for (int count = 0; count < 400; ++count) {
+        boost::system::error_code error;
+        endless->socket.write_some(asio::buffer(block), error);
+        this->context.restart();
+        this->context.run_for(1ms);
+        if (error && error != asio::error::would_block) {
+            break;
+        }
+    }
+    EXPECT_EQ(this->receive(*endless), "closed");
+    EXPECT_TRUE(this->ask(*other, "QUERY 1 WRITE 1 x").starts_with("COMPLETE signed"));
+}
+
+}
