--- a/console/platformconfigstore.cpp
+++ b/console/platformconfigstore.cpp
@@ -69,8 +69,8 @@
 
 RangeResult PlatformConfigStore::range(std::string_view prefix, core::Duration timeout)
 {
-    store::StoreSnapshot snapshot = runCall(
-        this->endpoint, timeout, &store::StoreClient::range, std::string(prefix), store::RangeOptions());
+    store::StoreSnapshot snapshot
+        = runCall(this->endpoint, timeout, &store::StoreClient::range, std::string(prefix), store::RangeOptions());
     RangeResult result{.revision = snapshot.revision};
     for (store::StoreEntry &entry : snapshot.entries) {
         result.values.push_back(toValue(std::move(entry)));
@@ -83,13 +83,10 @@
                                                std::string_view value,
                                                core::Duration timeout)
 {
-    return toSwapResult(key,
-                        runCall(this->endpoint,
-                                timeout,
-                                &store::StoreClient::compareAndSwap,
-                                std::string(key),
-                                base,
-                                std::string(value)));
+    return toSwapResult(
+        key,
+        runCall(
+            this->endpoint, timeout, &store::StoreClient::compareAndSwap, std::string(key), base, std::string(value)));
 }
 
 SwapResult PlatformConfigStore::remove(std::string_view key, std::int64_t base, core::Duration timeout)
--- a/daemon/configservice.cpp
+++ b/daemon/configservice.cpp
@@ -168,8 +168,8 @@
     this->appliedRevision = this->configuration.revision();
     const core::TimePoint opened = core::Clock::now();
     store::WatchOptions watch{.prefix = this->options.watchPrefix,
-                                 .fromRevision = this->watchedRevision + 1,
-                                 .silenceDeadline = this->options.watchSilence};
+                              .fromRevision = this->watchedRevision + 1,
+                              .silenceDeadline = this->options.watchSilence};
     const std::shared_ptr<ConfigurationService> self = this->shared_from_this();
     store::WatchCallback callback = [self](const std::vector<store::StoreEvent> &events, std::int64_t revision) {
         return self->applyWatch(events, revision);
--- a/gateway/workrouter.cpp
+++ b/gateway/workrouter.cpp
@@ -143,7 +143,7 @@
         }
         return false;
     };
-    std::ranges::stable_partition(order, [&](const std::string &daemon) { return !isAvoided(daemon); });
+    std::stable_partition(order.begin(), order.end(), [&](const std::string &daemon) { return !isAvoided(daemon); });
     if (order.size() > MaximumCandidates) {
         order.resize(MaximumCandidates);
     }
--- a/pooling/statement.h
+++ b/pooling/statement.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 /// Transaction pooling: statements of long caller sessions over the scarce connections of backend servers.
@@ -33,7 +34,10 @@
     std::string shape;
 
     bool operator==(const PreparedShape &) const = default;
-    auto operator<=>(const PreparedShape &) const = default;
+    bool operator<(const PreparedShape &other) const
+    {
+        return std::tie(this->writes, this->shape) < std::tie(other.writes, other.shape);
+    }
 };
 
 /// One statement of a caller.
