--- /dev/null
+++ b/gateway/gatewayreports.cpp
@@ -0,0 +1,268 @@
+#include "gateway/gatewaydaemon.h"
+
+#include "core/error.h"
+#include "core/json.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+/// Reports between daemons: demand, shares of rates, newer configurations and promotions.
+namespace endiveshore::gateway {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+
+constexpr std::chrono::milliseconds ReportInterval{250};
+/// A daemon whose report is older is left out of the sum of its data centre.
+constexpr std::chrono::milliseconds LocalReportLife{2'500};
+/// Weight of the newest report interval in the average demand.
+constexpr double DemandWeight = 0.3;
+constexpr std::chrono::milliseconds ConfigurationTimeout{1'500};
+/// A store that has answered within this time, one renewal and its answer, is in contact.
+constexpr std::chrono::milliseconds LeaseRenewalAge{2'900};
+
+}
+
+net::awaitable<void> GatewayDaemon::reportLoop()
+{
+    asio::steady_timer timer(this->context);
+    core::TimePoint previous = core::Clock::now();
+    while (true) {
+        timer.expires_after(ReportInterval);
+        co_await timer.async_wait(UseTuple);
+        const auto wanted = co_await this->traffic.takeDemand();
+        const core::TimePoint now = core::Clock::now();
+        const double seconds = std::chrono::duration<double>(now - previous).count();
+        previous = now;
+        // The first demand after a start counts in full: callers of a stopped daemon all come back at once.
+        for (const auto &[workspace, count] : wanted) {
+            this->demand.try_emplace(workspace, static_cast<double>(count) / seconds);
+        }
+        for (auto &[workspace, rate] : this->demand) {
+            const auto found = wanted.find(workspace);
+            const double current = found == wanted.end() ? 0 : static_cast<double>(found->second) / seconds;
+            rate += DemandWeight * (current - rate);
+        }
+        this->updateShares();
+        this->sendReport();
+    }
+}
+
+void GatewayDaemon::updateShares()
+{
+    const core::TimePoint now = core::Clock::now();
+    this->shares.setOwnDemand(this->demand);
+    const core::Milliseconds age = this->storeAge();
+    if (age < LeaseRenewalAge) {
+        std::map<std::string, std::size_t, std::less<>> holders;
+        for (const auto &[id, registration] : this->registered) {
+            const bool isLocal = registration.dataCentre == this->adapter.deployment.dataCentre;
+            ++holders[isLocal ? id : registration.dataCentre];
+        }
+        this->shares.setLeaseHolders(std::move(holders), now);
+    }
+    const std::shared_ptr<const Configuration> configuration = this->sync->configuration();
+    if (configuration == nullptr) {
+        return;
+    }
+    std::set<std::string, std::less<>> regionReporters;
+    for (const auto &[dataCentre, region] : this->adapter.deployment.regionOfDataCentre) {
+        if (region == this->adapter.deployment.region) {
+            regionReporters.insert(dataCentre);
+        }
+    }
+    for (const PeerDaemon *const colleague : this->colleagues()) {
+        regionReporters.insert(colleague->id);
+    }
+    auto next = std::make_shared<DaemonShares>();
+    next->daemons = this->shares.holders(now);
+    for (const auto &[name, workspace] : configuration->workspaces) {
+        const double rate = workspace.limits.ratePerSecond;
+        next->own.emplace(name, this->shares.share(name, rate, now));
+        next->region.emplace(name, this->shares.groupShare(name, rate, regionReporters, now));
+    }
+    this->traffic.publishShares(std::move(next));
+}
+
+DaemonReport GatewayDaemon::ownReport() const
+{
+    const std::shared_ptr<const Configuration> configuration = this->sync->configuration();
+    const std::string &self = this->adapter.deployment.daemonId;
+    return {.daemon = self,
+            .demand = this->demand,
+            .configurationVersion = configuration == nullptr ? 0 : configuration->version,
+            .storeAge = this->storeAge(),
+            .leaving = this->leaving ? std::set<std::string, std::less<>>{self} : std::set<std::string, std::less<>>(),
+            .promotions = this->primaries.promotions()};
+}
+
+DaemonReport GatewayDaemon::dataCentreReport() const
+{
+    DaemonReport sum = this->ownReport();
+    sum.dataCentre = this->adapter.deployment.dataCentre;
+    const core::TimePoint now = core::Clock::now();
+    for (const auto &[daemon, report] : this->localReports) {
+        const auto reported = this->reportedAt.find(daemon);
+        if (reported == this->reportedAt.end() || now - reported->second > LocalReportLife) {
+            continue;
+        }
+        ++sum.daemons;
+        sum.leaving.insert(report.leaving.begin(), report.leaving.end());
+        sum.storeAge = std::min(sum.storeAge, report.storeAge);
+        for (const auto &[workspace, rate] : report.demand) {
+            sum.demand[workspace] += rate;
+        }
+    }
+    return sum;
+}
+
+std::string GatewayDaemon::delegateOf(std::string_view dataCentre) const
+{
+    // Strong daemons come first in every order of homes, so they carry the reports as well.
+    const auto isBetter = [this](const PeerDaemon &left, const PeerDaemon &right) {
+        return left.processorShare != right.processorShare ? left.processorShare > right.processorShare
+                                                           : left.id < right.id;
+    };
+    const PeerDaemon *best = nullptr;
+    for (const auto &[id, daemon] : this->view->daemons) {
+        if (daemon.dataCentre != dataCentre || daemon.isSuspect || this->leavingDaemons.contains(id)) {
+            continue;
+        }
+        if (best == nullptr || isBetter(daemon, *best)) {
+            best = &daemon;
+        }
+    }
+    return best == nullptr ? std::string() : best->id;
+}
+
+std::vector<const PeerDaemon *> GatewayDaemon::colleagues() const
+{
+    std::vector<const PeerDaemon *> found;
+    for (const auto &[id, daemon] : this->view->daemons) {
+        if (id != this->adapter.deployment.daemonId && daemon.dataCentre == this->adapter.deployment.dataCentre) {
+            found.push_back(&daemon);
+        }
+    }
+    return found;
+}
+
+std::vector<const PeerDaemon *> GatewayDaemon::otherDelegates() const
+{
+    std::vector<const PeerDaemon *> found;
+    for (const auto &[dataCentre, region] : this->adapter.deployment.regionOfDataCentre) {
+        if (dataCentre == this->adapter.deployment.dataCentre) {
+            continue;
+        }
+        const auto daemon = this->view->daemons.find(this->delegateOf(dataCentre));
+        if (daemon != this->view->daemons.end()) {
+            found.push_back(&daemon->second);
+        }
+    }
+    return found;
+}
+
+void GatewayDaemon::sendTo(const std::vector<const PeerDaemon *> &receivers, const DaemonReport &report)
+{
+    const std::string payload = json::serialize(toJson(report));
+    const std::uint16_t port = this->adapter.deployment.reportListen.port();
+    for (const PeerDaemon *const receiver : receivers) {
+        this->reports->send({receiver->endpoint.address(), port}, payload);
+    }
+}
+
+void GatewayDaemon::sendReport()
+{
+    const Deployment &deployment = this->adapter.deployment;
+    this->sendTo(this->colleagues(), this->ownReport());
+    if (this->delegateOf(deployment.dataCentre) == deployment.daemonId) {
+        this->sendTo(this->otherDelegates(), this->dataCentreReport());
+    }
+}
+
+void GatewayDaemon::relayReport(const DaemonReport &report)
+{
+    const auto sender = this->view->daemons.find(report.daemon);
+    const bool isFirstHand = sender != this->view->daemons.end() && sender->second.dataCentre == report.dataCentre
+        && this->delegateOf(this->adapter.deployment.dataCentre) == this->adapter.deployment.daemonId;
+    if (isFirstHand) {
+        this->sendTo(this->colleagues(), report);
+    }
+}
+
+void GatewayDaemon::receiveReport(std::string_view payload)
+{
+    DaemonReport report;
+    try {
+        report = core::valueOrThrow([payload]() -> boost::leaf::result<DaemonReport> {
+            BOOST_LEAF_AUTO(body, core::parseJsonObject(payload));
+            return daemonReportFromJson(body);
+        });
+    } catch (const core::Error &error) {
+        this->log.line("report_unreadable", telemetry::LogLevel::Warning).field("reason", error.message);
+        return;
+    }
+    const core::TimePoint now = core::Clock::now();
+    this->applyLeaving(report);
+    if (report.dataCentre.empty()) {
+        this->localReports[report.daemon] = report;
+    } else {
+        this->relayReport(report);
+    }
+    const std::string &reporter = report.dataCentre.empty() ? report.daemon : report.dataCentre;
+    this->shares.report(reporter, report.demand, report.daemons, now);
+    this->storeAges[reporter] = report.storeAge;
+    this->reportedAt[reporter] = now;
+    for (const auto &[service, promotion] : report.promotions) {
+        this->applyPromotion(service, promotion.server, promotion.fence);
+    }
+    const std::shared_ptr<const Configuration> configuration = this->sync->configuration();
+    const std::uint64_t version = configuration == nullptr ? 0 : configuration->version;
+    const auto peer = this->view->daemons.find(report.daemon);
+    if (report.configurationVersion > version && !this->fetching && peer != this->view->daemons.end()) {
+        this->fetching = true;
+        asio::co_spawn(this->context, this->fetchConfiguration(peer->second.endpoint), asio::detached);
+    }
+}
+
+void GatewayDaemon::applyLeaving(const DaemonReport &report)
+{
+    std::set<std::string, std::less<>> next = report.leaving;
+    for (const std::string &daemon : this->leavingDaemons) {
+        const auto known = this->view->daemons.find(daemon);
+        const bool isReported = report.dataCentre.empty()
+            ? daemon == report.daemon
+            : known != this->view->daemons.end() && known->second.dataCentre == report.dataCentre;
+        if (!isReported) {
+            next.insert(daemon);
+        }
+    }
+    if (next != this->leavingDaemons) {
+        this->leavingDaemons = std::move(next);
+        this->scheduleView();
+    }
+}
+
+net::awaitable<void> GatewayDaemon::fetchConfiguration(net::TcpEndpoint endpoint)
+{
+    net::HttpRequest request{.target = std::string(ConfigurationPath)};
+    try {
+        const net::HttpResponse response
+            = co_await this->peers.exchange(endpoint, std::move(request), ConfigurationTimeout);
+        if (!response.body.empty()) {
+            this->sync->offerConfiguration(response.body);
+        }
+    } catch (const core::Error &error) {
+        this->log.line("configuration_not_fetched", telemetry::LogLevel::Warning).field("reason", error.message);
+    }
+    this->fetching = false;
+}
+
+}
--- a/gateway/pooledserver.cpp
+++ b/gateway/pooledserver.cpp
@@ -2,6 +2,7 @@
 
 #include "core/error.h"
 #include "core/hashing.h"
+#include "gateway/pooledserverdetail.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -22,8 +23,6 @@
 
 /// Opening takes one or two round trips and the server's handshake of up to 30 ms, behind its queue.
 constexpr std::chrono::milliseconds OpenTimeout{700};
-/// Commands that occupy no slot are answered within a round trip.
-constexpr std::chrono::milliseconds ControlTimeout{450};
 /// Units beyond the server's slots that are sent, so that a slot never waits for a round trip.
 constexpr unsigned SendAhead = 1;
 /// A statement that takes longer than this has probably run and lost its answer: its slot is given to another one. The
@@ -42,41 +41,6 @@
 constexpr std::chrono::seconds IdleConnectionLife{20};
 constexpr std::size_t LeaseIdBytes = 8;
 
-pooling::UnitResult notRun(UnitError error, std::string text = {})
-{
-    return {.outcome = UnitOutcome::NotRun, .error = error, .errorText = std::move(text)};
-}
-
-bool isWriteOutcome(UnitKind kind)
-{
-    return kind == UnitKind::Write || kind == UnitKind::Commit;
-}
-
-/// Errors after which the server promises that the statement has not run.
-bool isNotRunError(UnitError error)
-{
-    switch (error) {
-    case UnitError::ServerBusy:
-    case UnitError::Behind:
-    case UnitError::NotPrimary:
-    case UnitError::WrongServer:
-    case UnitError::ConnectionLimit:
-    case UnitError::UnknownPrepared:
-        return true;
-    default:
-        return false;
-    }
-}
-
-pooling::UnitResult errorResult(const ServerReply &reply)
-{
-    return {.outcome = isNotRunError(reply.error) ? UnitOutcome::NotRun : UnitOutcome::ServerError,
-            .error = reply.error,
-            .errorText = reply.errorText,
-            .position = reply.position,
-            .transactionFailed = reply.state == ServerState::TransactionFailed};
-}
-
 queueing::Priority queuePriority(int routePriority)
 {
     return routePriority <= 1 ? queueing::Priority::Write : queueing::Priority::Read;
@@ -395,118 +359,6 @@
     co_return result;
 }
 
-net::awaitable<pooling::UnitResult> PooledServer::prepareConnection(Connection &connection, const Unit &unit)
-{
-    std::vector<ServerCommand> commands;
-    const auto isDropped = [&](const auto &entry) { return !unit.values.contains(entry.first); };
-    if (std::ranges::any_of(connection.values, isDropped)) {
-        commands.push_back({.kind = CommandKind::Reset});
-        connection.values.clear();
-        connection.prepared.clear();
-    }
-    for (const auto &[name, value] : unit.values) {
-        const auto present = connection.values.find(name);
-        if (present == connection.values.end() || present->second != value) {
-            commands.push_back({.kind = CommandKind::SetValue, .name = name, .value = value});
-        }
-    }
-    if (unit.prepared && !connection.prepared.contains(*unit.prepared)) {
-        std::string name = "p" + std::to_string(++this->lastPrepared);
-        commands.push_back({.kind = CommandKind::Prepare, .name = name, .shape = *unit.prepared});
-        connection.prepared.emplace(*unit.prepared, std::move(name));
-    }
-    if (commands.empty()) {
-        co_return Result{.outcome = UnitOutcome::Done};
-    }
-    connection.values = unit.values;
-    const std::size_t expected = commands.size();
-    const std::vector<ServerReply> replies = co_await connection.link->exchange(std::move(commands), ControlTimeout);
-    for (const ServerReply &reply : replies) {
-        if (reply.isError) {
-            // The connection is in a state that no session asked for.
-            connection.link->close();
-            co_return notRun(reply.error, reply.errorText);
-        }
-    }
-    if (replies.size() < expected) {
-        co_return notRun(UnitError::ConnectionLost, "while the connection was prepared");
-    }
-    co_return Result{.outcome = UnitOutcome::Done};
-}
-
-net::awaitable<pooling::UnitResult> PooledServer::beginTransaction(Connection &connection, const Unit &unit)
-{
-    const bool readOnly = unit.kind == UnitKind::OpenReadOnly;
-    std::vector<ServerCommand> commands;
-    commands.push_back({.kind = readOnly ? CommandKind::BeginReadOnly : CommandKind::Begin,
-                        .minimumPosition = readOnly ? unit.minimumPosition : session::LogPosition()});
-    const core::BootTime sentAt = core::BootClock::now();
-    const std::vector<ServerReply> replies = co_await connection.link->exchange(std::move(commands), ControlTimeout);
-    if (replies.empty()) {
-        co_return notRun(UnitError::ConnectionLost, "while the transaction began");
-    }
-    this->noteAnswer();
-    const ServerReply &reply = replies.front();
-    if (reply.isError) {
-        if (reply.state != ServerState::Idle) {
-            connection.link->close();
-        }
-        Result result = errorResult(reply);
-        result.outcome = UnitOutcome::NotRun;
-        result.transactionFailed = false;
-        co_return result;
-    }
-    if (!readOnly) {
-        this->recordProof(reply.position, sentAt);
-    }
-    co_return Result{.outcome = UnitOutcome::Done, .position = reply.position};
-}
-
-ServerCommand PooledServer::statementCommand(const Connection &connection, const Unit &unit) const
-{
-    ServerCommand command{.kind = CommandKind::CallerStatement, .id = unit.id, .text = unit.text};
-    if (unit.prepared) {
-        command.kind = CommandKind::CallerExecute;
-        command.name = connection.prepared.at(*unit.prepared);
-    }
-    if (unit.kind == UnitKind::ReplicaRead) {
-        command.minimumPosition = unit.minimumPosition;
-    }
-    return command;
-}
-
-net::awaitable<pooling::UnitResult>
-PooledServer::runStatement(Connection &connection, const Unit &unit, bool endWithRollback)
-{
-    std::vector<ServerCommand> commands;
-    commands.push_back(this->statementCommand(connection, unit));
-    if (endWithRollback) {
-        commands.push_back({.kind = CommandKind::Rollback});
-    }
-    const core::TimePoint sentAt = core::Clock::now();
-    std::vector<ServerReply> replies = co_await connection.link->exchange(std::move(commands), unit.statementLimit);
-    if (replies.empty()) {
-        const bool timedOut = core::Clock::now() - sentAt >= unit.statementLimit;
-        const UnitError error = timedOut ? UnitError::NoAnswer : UnitError::ConnectionLost;
-        co_return Result{.outcome = isWriteOutcome(unit.kind) ? UnitOutcome::Unknown : UnitOutcome::NotRun,
-                         .error = error,
-                         .errorText = timedOut ? "no answer" : "connection lost"};
-    }
-    this->noteAnswer();
-    ServerReply &reply = replies.front();
-    if (reply.isError) {
-        if (reply.error == UnitError::UnknownPrepared && unit.prepared) {
-            connection.prepared.erase(*unit.prepared);
-        }
-        co_return errorResult(reply);
-    }
-    co_return Result{.outcome = UnitOutcome::Done,
-                     .rows = std::move(reply.rows),
-                     .signature = std::move(reply.signature),
-                     .position = reply.position,
-                     .transactionFailed = reply.state == ServerState::TransactionFailed};
-}
-
 net::awaitable<pooling::UnitResult> PooledServer::runOnLease(Unit unit)
 {
     const auto found = this->leases.find(unit.lease);
@@ -571,20 +423,6 @@
     co_return result;
 }
 
-net::awaitable<void> PooledServer::rollBack(std::shared_ptr<Connection> connection)
-{
-    const std::shared_ptr<PooledServer> self = this->shared_from_this();
-    bool clean = false;
-    if (connection->link->isOpen()) {
-        std::vector<ServerCommand> commands;
-        commands.push_back({.kind = CommandKind::Rollback});
-        const std::vector<ServerReply> replies
-            = co_await connection->link->exchange(std::move(commands), ControlTimeout);
-        clean = !replies.empty() && replies.front().state == ServerState::Idle;
-    }
-    this->keepOrDrop(connection, clean);
-}
-
 net::awaitable<pooling::UnitResult> PooledServer::runOwnCommand(Unit unit)
 {
     // Any idle connection serves: the commands are the proxy's own and occupy no slot.
@@ -621,21 +459,6 @@
     co_return result;
 }
 
-net::awaitable<pooling::UnitResult> PooledServer::askStatus(Connection &connection)
-{
-    std::vector<ServerCommand> commands;
-    commands.push_back({.kind = CommandKind::Status});
-    std::vector<ServerReply> replies = co_await connection.link->exchange(std::move(commands), ControlTimeout);
-    if (replies.empty()) {
-        co_return notRun(UnitError::ConnectionLost, "while its status was asked");
-    }
-    this->noteAnswer();
-    if (replies.front().isError) {
-        co_return errorResult(replies.front());
-    }
-    co_return Result{.outcome = UnitOutcome::Done, .rows = std::move(replies.front().rows)};
-}
-
 void PooledServer::keepOrDrop(const std::shared_ptr<Connection> &connection, bool reusable)
 {
     const bool keep
