Remove two accessors that nothing calls

WorkRouter::lastAnswer() and PooledServer::lastAnswer() were left from a way of probing primaries that the duty's question through several daemons replaced.

--- a/gateway/pooledserver.cpp
+++ b/gateway/pooledserver.cpp
@@ -109,11 +109,6 @@
     return this->leases.size();
 }
 
-std::optional<core::TimePoint> PooledServer::lastAnswer() const
-{
-    return this->answeredAt;
-}
-
 void PooledServer::update(const BackendServer &server, unsigned connections)
 {
     const bool restarted = server.startedAt != this->options.server.startedAt;
--- a/gateway/pooledserver.h
+++ b/gateway/pooledserver.h
@@ -59,9 +59,6 @@
     std::size_t queued() const;
     std::size_t openTransactions() const;
 
-    /// When the server answered last, if it ever did.
-    std::optional<core::TimePoint> lastAnswer() const;
-
 private:
     struct Connection
     {
--- a/gateway/workrouter.cpp
+++ b/gateway/workrouter.cpp
@@ -290,12 +290,6 @@
     this->peers.closeAll();
 }
 
-std::optional<core::TimePoint> WorkRouter::lastAnswer(std::string_view server) const
-{
-    const auto found = this->byServer.find(server);
-    return found == this->byServer.end() ? std::nullopt : found->second->lastAnswer();
-}
-
 net::PeerClient &WorkRouter::peerClient()
 {
     return this->peers;
--- a/gateway/workrouter.h
+++ b/gateway/workrouter.h
@@ -50,9 +50,6 @@
 
     void close();
 
-    /// When @p server last answered this daemon, if it did.
-    std::optional<core::TimePoint> lastAnswer(std::string_view server) const;
-
     /// Connections to other daemons, for requests besides units of work.
     net::PeerClient &peerClient();
 
