Know the shares of rates from the first statement of a daemon

Ruled out: rates too low for the returning demand (a burst is a second of the rate), slow reading of the store (the configuration is in force 30 ms after the start). Change: shares are published with each new configuration; a workspace waits for its share and then starts full.

--- a/gateway/gatewaydaemon.cpp
+++ b/gateway/gatewaydaemon.cpp
@@ -350,7 +350,12 @@
     if (next.configuration != nullptr) {
         this->gossip->setConfigRevision(next.configuration->version, false);
     }
+    const bool isNewConfiguration = next.configuration != this->view->configuration;
     this->view = std::make_shared<const GatewayView>(std::move(next));
+    if (isNewConfiguration) {
+        // Callers of a daemon that has just started come at once, before the first report.
+        this->updateShares();
+    }
     this->traffic.publish(this->view);
 }
 
--- a/gateway/rategate.cpp
+++ b/gateway/rategate.cpp
@@ -9,6 +9,8 @@
 
 /// Below this burst a share could never start an operation.
 constexpr double MinimumBurst = 1;
+/// Shares follow the configuration within a few ms.
+constexpr std::chrono::milliseconds ShareRetry{10};
 /// Operations that a daemon's even share of the burst must hold. With fewer, callers that come by chance at the same
 /// moment are refused although their workspace is inside its rate.
 constexpr double MinimumOwnBurst = 6;
@@ -16,6 +18,13 @@
 /// tolerates above a rate.
 constexpr double BridgePart = 0.05;
 
+/// Limits of the part @p share of @p whole. A daemon without a share starts nothing.
+limits::ShareLimits partOf(const limits::ShareLimits &whole, double share)
+{
+    return {.ratePerSecond = whole.ratePerSecond * share,
+            .burst = share > 0 ? std::max(MinimumBurst, whole.burst * share) : 0};
+}
+
 double shareOf(const RateShares &shares, const std::string &workspace)
 {
     const auto found = shares.find(workspace);
@@ -43,25 +52,22 @@
     const auto isRemoved = [&](const auto &entry) { return !configuration.workspaces.contains(entry.first); };
     std::erase_if(this->buckets, isRemoved);
     std::erase_if(this->pools, isRemoved);
+    this->awaitingShare.clear();
     for (const auto &[name, workspace] : configuration.workspaces) {
+        if (!shares.own.contains(name) && !this->buckets.contains(name)) {
+            this->awaitingShare.insert(name);
+            continue;
+        }
         const limits::ShareLimits &whole = workspace.limits;
         const double share = shareOf(shares.own, name);
         const bool pooled = whole.burst / static_cast<double>(shares.daemons) < MinimumOwnBurst && shares.daemons > 1;
         if (!pooled) {
             this->pools.erase(name);
-            setBucket(
-                this->buckets,
-                name,
-                {.ratePerSecond = whole.ratePerSecond * share, .burst = std::max(MinimumBurst, whole.burst * share)},
-                now);
+            setBucket(this->buckets, name, partOf(whole, share), now);
             continue;
         }
         const double region = shareOf(shares.region, name) * (1 - BridgePart);
-        setBucket(
-            this->pools,
-            name,
-            {.ratePerSecond = whole.ratePerSecond * region, .burst = std::max(MinimumBurst, whole.burst * region)},
-            now);
+        setBucket(this->pools, name, partOf(whole, region), now);
         const double bridge = BridgePart / static_cast<double>(shares.daemons);
         setBucket(this->buckets, name, {.ratePerSecond = whole.ratePerSecond * bridge, .burst = MinimumBurst}, now);
     }
@@ -108,6 +114,9 @@
 
 core::Duration RateGate::timeUntilNext(std::string_view workspace, core::TimePoint now)
 {
+    if (this->awaitingShare.contains(workspace)) {
+        return ShareRetry;
+    }
     const auto bucket = this->buckets.find(workspace);
     return bucket == this->buckets.end() ? core::Duration::max() : bucket->second.timeUntil(1, now);
 }
--- a/gateway/rategate.h
+++ b/gateway/rategate.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace endiveshore::gateway {
@@ -32,8 +33,9 @@
 class RateGate
 {
 public:
-    /// Takes over configured rates and this daemon's shares. A workspace starts with a full bucket: while its
-    /// daemon was away nothing was spent, and what it may have spent just before is part of the same window.
+    /// Takes over configured rates and this daemon's shares. A workspace without a share waits for one, and then starts
+    /// with a full bucket: while its daemon was away nothing was spent, and what it may have spent just before is part
+    /// of the same window.
     void update(const Configuration &configuration, const DaemonShares &shares, core::TimePoint now);
 
     /// True if the even share of the workspace's burst is too small for a bucket of its own at each daemon. Its rate is
@@ -52,7 +54,7 @@
     /// Returns an operation that tryTake() allowed and that no server has run.
     void giveBack(std::string_view workspace);
 
-    /// Time until the next operation of @p workspace is allowed.
+    /// Time until the next operation of @p workspace is allowed, or until asking again while its share is not known.
     core::Duration timeUntilNext(std::string_view workspace, core::TimePoint now);
 
     /// Operations that @p workspace may start now, and the part of its rate that this daemon may spend.
@@ -71,6 +73,7 @@
     Buckets buckets;
     Buckets pools; ///< Of pooled workspaces; used if this daemon is asked for them.
     RateShares currentShares;
+    std::set<std::string, std::less<>> awaitingShare; ///< Configured workspaces whose share is not known yet.
     std::map<std::string, std::uint64_t, std::less<>> wanted;
 };
 
--- a/tests/gateway/test_rategate.cpp
+++ b/tests/gateway/test_rategate.cpp
@@ -55,6 +55,31 @@
     EXPECT_EQ(gate.timeUntilNext("w", Start), core::Duration::max());
 }
 
+// Guards against refusals after a restart: callers return within milliseconds, before the first shares are known, and a
+// bucket made then would start empty.
+TEST(RateGate, BucketIsFullOnceTheShareIsKnown)
+{
+    RateGate gate;
+    gate.update(configuration(100, 100), {}, Start);
+    EXPECT_FALSE(gate.tryTake("w", Start));
+    EXPECT_LE(gate.timeUntilNext("w", Start), 50ms);
+    gate.update(configuration(100, 100), {.own = {{"w", 0.25}}}, Start + 10ms);
+    int taken = 0;
+    while (gate.tryTake("w", Start + 10ms)) {
+        ++taken;
+    }
+    EXPECT_EQ(taken, 25);
+}
+
+// Guards against an operation above the rate of a daemon that may spend nothing.
+TEST(RateGate, ShareOfNothingAllowsNothing)
+{
+    RateGate gate;
+    gate.update(configuration(100, 100), {.own = {{"w", 0}}}, Start);
+    EXPECT_FALSE(gate.tryTake("w", Start));
+    EXPECT_FALSE(gate.tryTake("w", Start + 10s));
+}
+
 // Guards against demand that is counted twice or forgotten between two reports.
 TEST(RateGate, DemandIsTakenOnce)
 {
