--- a/daemon/configservice.cpp
+++ b/daemon/configservice.cpp
@@ -24,17 +24,20 @@
 // Members asked in place of one that failed. Gossip shows the revision again if all of them fail.
 constexpr int MaxSubstitutes = 3;
 
+// A daemon that does not relay asks the store this much less often for its first snapshot.
+constexpr int FollowerRetryFactor = 4;
+
 // Members asked for the first snapshot before the store is tried again.
 constexpr std::size_t PeersPerLoad = 3;
 
 }
 
 ConfigurationService::ConfigurationService(const net::Executor &executor,
-                                           std::shared_ptr<store::StoreClient> store,
+                                           std::shared_ptr<ConfigurationSource> source,
                                            ConfigurationOptions options,
                                            ConfigurationCallbacks callbacks)
     : executor(executor)
-    , store(std::move(store))
+    , source(std::move(source))
     , options(std::move(options))
     , callbacks(std::move(callbacks))
     , random(this->options.seed)
@@ -116,31 +119,24 @@
             done = co_await this->loadFromPeers();
         }
         if (!done) {
-            co_await this->pause(this->retryPause());
+            // The others hear from the relays as soon as these have read the store.
+            co_await this->pause(this->callbacks.isRelay() ? this->retryPause()
+                                                           : FollowerRetryFactor * this->retryPause());
         }
     }
 }
 
 net::awaitable<bool> ConfigurationService::loadFromStore()
 {
-    std::vector<confsync::EntryChange> snapshot;
-    std::int64_t snapshotRevision = 0;
     const core::TimePoint started = core::Clock::now();
+    ConfigurationSnapshot snapshot;
     try {
-        for (const ConfigurationPart &part : this->options.parts) {
-            store::RangeOptions range{.pageSize = part.pageSize, .revision = snapshotRevision};
-            store::StoreSnapshot read = co_await this->store->range(part.prefix, range);
-            snapshotRevision = read.revision;
-            for (store::StoreEntry &entry : read.entries) {
-                snapshot.push_back(
-                    {.key = std::move(entry.key), .value = std::move(entry.value), .version = entry.version});
-            }
-        }
+        snapshot = co_await this->source->read();
     } catch (const core::Error &) {
         co_return false;
     }
-    const confsync::MergeResult result = this->configuration.applySnapshot(snapshot, snapshotRevision);
-    this->watchedRevision = std::max(this->watchedRevision, snapshotRevision);
+    const confsync::MergeResult result = this->configuration.applySnapshot(snapshot.entries, snapshot.revision);
+    this->watchedRevision = std::max(this->watchedRevision, snapshot.revision);
     // The reads may have been answered at any time since they were sent.
     this->storeConfirmation = std::max(this->storeConfirmation, started);
     this->publishIf(result);
@@ -167,18 +163,15 @@
     this->watchedRevision = std::max(this->watchedRevision, this->configuration.revision());
     this->appliedRevision = this->configuration.revision();
     const core::TimePoint opened = core::Clock::now();
-    store::WatchOptions watch{.prefix = this->options.watchPrefix,
-                              .fromRevision = this->watchedRevision + 1,
-                              .silenceDeadline = this->options.watchSilence};
     const std::shared_ptr<ConfigurationService> self = this->shared_from_this();
-    store::WatchCallback callback = [self](const std::vector<store::StoreEvent> &events, std::int64_t revision) {
-        return self->applyWatch(events, revision);
+    FollowCallback callback = [self](std::span<const confsync::EntryChange> changes, std::int64_t revision) {
+        return self->applyChanges(changes, revision);
     };
-    const store::WatchEnd end = co_await this->store->watch(std::move(watch), std::move(callback));
-    if (end == store::WatchEnd::Stopped) {
+    const FollowEnd end = co_await this->source->follow(this->watchedRevision, std::move(callback));
+    if (end == FollowEnd::Stopped) {
         co_return;
     }
-    if (end == store::WatchEnd::Compacted) {
+    if (end == FollowEnd::Compacted) {
         const bool reloaded = co_await this->loadFromStore();
         if (reloaded) {
             co_return;
@@ -191,16 +184,9 @@
     }
 }
 
-bool ConfigurationService::applyWatch(const std::vector<store::StoreEvent> &events, std::int64_t revision)
+bool ConfigurationService::applyChanges(std::span<const confsync::EntryChange> changes, std::int64_t revision)
 {
     this->storeConfirmation = core::Clock::now();
-    std::vector<confsync::EntryChange> changes;
-    for (const store::StoreEvent &event : events) {
-        if (this->isConfigured(event.key)) {
-            changes.push_back(
-                {.key = event.key, .value = event.value, .version = event.version, .deleted = event.deleted});
-        }
-    }
     if (!changes.empty()) {
         const confsync::MergeResult result = this->configuration.applyEvents(changes, this->appliedRevision, revision);
         this->appliedRevision = std::max(this->appliedRevision, revision);
@@ -338,13 +324,6 @@
     return std::chrono::duration_cast<core::Duration>(this->options.retryInterval * factor(this->random));
 }
 
-bool ConfigurationService::isConfigured(std::string_view key) const
-{
-    return std::any_of(this->options.parts.begin(), this->options.parts.end(), [key](const ConfigurationPart &part) {
-        return key.starts_with(part.prefix);
-    });
-}
-
 void ConfigurationService::publishIf(confsync::MergeResult result)
 {
     if (result == confsync::MergeResult::Applied && !this->stopped) {
--- a/daemon/configservice.h
+++ b/daemon/configservice.h
@@ -2,8 +2,8 @@
 
 #include "confsync/entrystore.h"
 #include "core/time.h"
+#include "daemon/configurationsource.h"
 #include "net/asyncio.h"
-#include "store/storeclient.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/object.hpp>
@@ -17,19 +17,10 @@
 
 namespace endiveshore::daemon {
 
-/// Part of the store that belongs to the configuration. Other keys are ignored.
-struct ConfigurationPart
-{
-    std::string prefix;
-    std::int64_t pageSize = 0; ///< Entries per read; bounds the size of the answer.
-};
-
 struct ConfigurationOptions
 {
-    std::string watchPrefix = "/endiveshore/"; ///< Contains all parts, so that one watch covers them.
-    /// A document may take 1 MB, the limit of the store; a key takes about 200 bytes.
-    std::vector<ConfigurationPart> parts{{"/endiveshore/services/", 5}, {"/endiveshore/keys/", 500}};
-    /// Below the isolation limit of 2 s, so that a dead watch is replaced before the daemon counts as isolated.
+    /// A relay whose source has been silent for this long takes notices of others at once. Below the isolation limit of
+    /// 2 s, so that a dead watch is replaced before the daemon counts as isolated.
     core::Duration watchSilence = std::chrono::milliseconds(1'500);
     /// Between attempts to reach the store, varied by half in both directions.
     core::Duration retryInterval = std::chrono::milliseconds(500);
@@ -64,7 +55,7 @@
 {
 public:
     ConfigurationService(const net::Executor &executor,
-                         std::shared_ptr<store::StoreClient> store,
+                         std::shared_ptr<ConfigurationSource> source,
                          ConfigurationOptions options,
                          ConfigurationCallbacks callbacks);
 
@@ -110,7 +101,7 @@
     net::awaitable<bool> loadFromStore();
     net::awaitable<bool> loadFromPeers();
     net::awaitable<void> followStore();
-    bool applyWatch(const std::vector<store::StoreEvent> &events, std::int64_t revision);
+    bool applyChanges(std::span<const confsync::EntryChange> changes, std::int64_t revision);
     net::awaitable<void> checkPulls();
     void schedulePulls();
     bool mayStartPull(const Candidate &candidate, core::TimePoint now) const;
@@ -121,11 +112,10 @@
     void askSubstitute(const Candidate &failed);
     net::awaitable<void> pause(core::Duration duration);
     core::Duration retryPause();
-    bool isConfigured(std::string_view key) const;
     void publishIf(confsync::MergeResult result);
 
     net::Executor executor;
-    std::shared_ptr<store::StoreClient> store;
+    std::shared_ptr<ConfigurationSource> source;
     ConfigurationOptions options;
     ConfigurationCallbacks callbacks;
     confsync::EntryStore configuration;
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -183,8 +183,10 @@
     callbacks.revisionRaised = [this](const confsync::EntryStore &entries) { this->rebuildCatalogue(entries); };
     ConfigurationOptions options;
     options.seed = core::stableHash(this->settings.id);
+    auto source = std::make_shared<StoreClientSource>(this->store,
+                                                      StoreClientSourceOptions{.watchSilence = options.watchSilence});
     this->configuration
-        = std::make_shared<ConfigurationService>(this->control.get_executor(), this->store, options, callbacks);
+        = std::make_shared<ConfigurationService>(this->control.get_executor(), std::move(source), options, callbacks);
 }
 
 void Daemon::createGossip()
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -9,6 +9,7 @@
 #include "daemon/fleetviewbuilder.h"
 #include "daemon/gossipservice.h"
 #include "daemon/peerfrontend.h"
+#include "daemon/storeclientsource.h"
 #include "daemon/trafficthread.h"
 #include "net/httpserver.h"
 #include "net/peerclient.h"
--- /dev/null
+++ b/daemon/storeclientsource.cpp
@@ -0,0 +1,57 @@
+#include "daemon/storeclientsource.h"
+
+#include <algorithm>
+
+namespace endiveshore::daemon {
+
+StoreClientSource::StoreClientSource(std::shared_ptr<store::StoreClient> client, StoreClientSourceOptions options)
+    : client(std::move(client))
+    , options(std::move(options))
+{
+}
+
+net::awaitable<ConfigurationSnapshot> StoreClientSource::read()
+{
+    ConfigurationSnapshot snapshot;
+    for (const ConfigurationPart &part : this->options.parts) {
+        store::RangeOptions range{.pageSize = part.pageSize, .revision = snapshot.revision};
+        store::StoreSnapshot page = co_await this->client->range(part.prefix, range);
+        snapshot.revision = page.revision;
+        for (store::StoreEntry &entry : page.entries) {
+            snapshot.entries.push_back(
+                {.key = std::move(entry.key), .value = std::move(entry.value), .version = entry.version});
+        }
+    }
+    co_return snapshot;
+}
+
+net::awaitable<FollowEnd> StoreClientSource::follow(std::int64_t revision, FollowCallback callback)
+{
+    store::WatchOptions watch{.prefix = this->options.watchPrefix,
+                              .fromRevision = revision + 1,
+                              .silenceDeadline = this->options.watchSilence};
+    store::WatchCallback onEvents
+        = [this, callback = std::move(callback)](const std::vector<store::StoreEvent> &events, std::int64_t reached) {
+              std::vector<confsync::EntryChange> changes;
+              for (const store::StoreEvent &event : events) {
+                  if (this->isConfigured(event.key)) {
+                      changes.push_back(
+                          {.key = event.key, .value = event.value, .version = event.version, .deleted = event.deleted});
+                  }
+              }
+              return callback(changes, reached);
+          };
+    const store::WatchEnd end = co_await this->client->watch(std::move(watch), std::move(onEvents));
+    if (end == store::WatchEnd::Stopped) {
+        co_return FollowEnd::Stopped;
+    }
+    co_return end == store::WatchEnd::Compacted ? FollowEnd::Compacted : FollowEnd::Lost;
+}
+
+bool StoreClientSource::isConfigured(std::string_view key) const
+{
+    return std::ranges::any_of(this->options.parts,
+                               [key](const ConfigurationPart &part) { return key.starts_with(part.prefix); });
+}
+
+}
--- a/gateway/configuration.h
+++ b/gateway/configuration.h
@@ -55,7 +55,6 @@
     std::map<std::string, std::string, std::less<>> workspaceByKey;
     core::Milliseconds transactionIdle{}; ///< A transaction that rests for this long may be ended.
     std::size_t maximumLineBytes = 0; ///< Of a message of a caller.
-    std::string text; ///< As it lies in the metadata store, for daemons that cannot reach it.
 };
 
 /// A backend server as it registered itself.
--- a/gateway/daemonlease.cpp
+++ b/gateway/daemonlease.cpp
@@ -2,7 +2,7 @@
 
 #include "core/error.h"
 #include "core/hashing.h"
-#include "gateway/metadatasync.h"
+#include "core/json.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -13,6 +13,7 @@
 namespace endiveshore::gateway {
 
 namespace asio = boost::asio;
+namespace json = boost::json;
 
 namespace {
 
@@ -28,6 +29,9 @@
 constexpr std::chrono::milliseconds CallTimeout{700};
 /// Candidates for a free duty wait up to this long, so that mostly one of them asks the store.
 constexpr unsigned ElectionSpreadMs = 250;
+/// Members of the duty's value.
+constexpr std::string_view HolderMember = "daemon";
+constexpr std::string_view LeaseMember = "lease";
 
 }
 
@@ -119,7 +123,7 @@
 
 net::awaitable<void> DaemonLease::seekDuty()
 {
-    if (this->seeking || this->electionRevision != 0) {
+    if (this->seeking || this->electionRevision != 0 || !this->callbacks.mayCompete()) {
         co_return;
     }
     const std::shared_ptr<DaemonLease> self = this->shared_from_this();
@@ -139,8 +143,9 @@
         const core::BootTime askedAt = core::BootClock::now();
         this->dutyLease = co_await this->store->grantLease(DutyLife, CallTimeout);
         std::vector<MetadataChange> changes;
+        const json::object holder{{HolderMember, this->options.daemonId}, {LeaseMember, this->dutyLease}};
         changes.push_back(
-            {.key = dutyKey(), .expectedRevision = 0, .value = this->options.daemonId, .lease = this->dutyLease});
+            {.key = dutyKey(), .expectedRevision = 0, .value = json::serialize(holder), .lease = this->dutyLease});
         const MetadataSwap swap = co_await this->store->swap(std::move(changes), CallTimeout);
         if (swap.applied) {
             this->takeDuty(swap.revision, askedAt + DutyLife);
@@ -162,11 +167,11 @@
     this->callbacks.onElected(revision);
 }
 
-void DaemonLease::onDutyItem(const MetadataItem &item)
+void DaemonLease::onDutyEntry(const OwnEntry &entry)
 {
     this->dutyKnown = true;
-    if (item.isRemoved) {
-        if (this->duty && this->duty->revision > item.revision) {
+    if (entry.isRemoved) {
+        if (this->duty && this->duty->revision > entry.revision) {
             return;
         }
         this->duty.reset();
@@ -176,16 +181,26 @@
         }
         return;
     }
-    this->duty = item;
-    const bool isOwn = this->dutyLease != 0 && item.lease == this->dutyLease;
-    if (isOwn) {
+    this->duty = entry;
+    if (this->isOwnElection(entry)) {
         // The answer to the election may have been lost; the time of the lease is then not known until its renewal.
-        this->takeDuty(item.revision, core::BootTime());
-    } else if (this->electionRevision != 0 && item.revision > this->electionRevision) {
+        this->takeDuty(entry.revision, core::BootTime());
+    } else if (this->electionRevision != 0 && entry.revision > this->electionRevision) {
         this->loseDuty("another holder was elected");
     }
 }
 
+bool DaemonLease::isOwnElection(const OwnEntry &entry) const
+{
+    boost::system::error_code error;
+    const json::value value = json::parse(entry.value, error);
+    if (error || !value.is_object() || this->dutyLease == 0) {
+        return false;
+    }
+    return core::jsonString(value.as_object(), HolderMember) == this->options.daemonId
+        && static_cast<std::uint64_t>(core::jsonInteger(value.as_object(), LeaseMember)) == this->dutyLease;
+}
+
 void DaemonLease::onStoreRead()
 {
     this->dutyKnown = true;
--- a/gateway/daemonlease.h
+++ b/gateway/daemonlease.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/boottime.h"
+#include "gateway/metadatamirror.h"
 #include "gateway/metadatastore.h"
 #include "telemetry/decisionlog.h"
 
@@ -19,6 +20,7 @@
 
 struct DaemonLeaseCallbacks
 {
+    std::function<bool()> mayCompete; ///< Whether this daemon takes part in elections now.
     std::function<void()> onContact; ///< The store has answered a renewal.
     std::function<void(std::uint64_t electionRevision)> onElected;
     std::function<void(std::string reason)> onDutyLost;
@@ -42,9 +44,9 @@
     net::awaitable<void> stop();
 
     /// Takes over what the store says of the duty's key.
-    void onDutyItem(const MetadataItem &item);
+    void onDutyEntry(const OwnEntry &entry);
 
-    /// The store has been read; without a call of onDutyItem() nobody holds the duty.
+    /// The store has been read; without a call of onDutyEntry() nobody holds the duty.
     void onStoreRead();
 
     /// True while no other daemon can have been elected.
@@ -65,6 +67,7 @@
     net::awaitable<void> renewDuty();
     net::awaitable<void> seekDuty();
     net::awaitable<void> runForDuty();
+    bool isOwnElection(const OwnEntry &entry) const;
     void takeDuty(std::uint64_t revision, core::BootTime until);
 
     net::Executor executor;
@@ -75,7 +78,7 @@
     std::uint64_t registration = 0; ///< Lease of the registration.
     std::uint64_t dutyLease = 0;
     core::BootTime dutyUntil;
-    std::optional<MetadataItem> duty; ///< Key of the duty, as last seen.
+    std::optional<OwnEntry> duty; ///< Key of the duty, as last seen.
     bool dutyKnown = false; ///< The store has said whether the key exists.
     std::uint64_t electionRevision = 0; ///< 0 if not elected.
     bool seeking = false;
--- a/gateway/daemonreport.cpp
+++ b/gateway/daemonreport.cpp
@@ -30,10 +30,8 @@
     for (const auto &[service, promotion] : report.promotions) {
         promotions.emplace(service, json::array{json::string(promotion.server), promotion.fence});
     }
-    json::object object{{"i", report.daemon},
-                        {"d", std::move(demand)},
-                        {"v", report.configurationVersion},
-                        {"s", report.storeAge.count()}};
+    json::object object{
+        {"i", report.daemon}, {"d", std::move(demand)}, {"v", report.metadataRevision}, {"s", report.storeAge.count()}};
     if (!report.dataCentre.empty()) {
         object.emplace("z", report.dataCentre);
         object.emplace("n", report.daemons);
@@ -64,7 +62,7 @@
         }
         report.demand.emplace(entry.key(), static_cast<double>(entry.value().as_int64()) / DemandScale);
     }
-    report.configurationVersion = static_cast<std::uint64_t>(core::jsonInteger(object, "v"));
+    report.metadataRevision = core::jsonInteger(object, "v");
     report.storeAge = core::Milliseconds(core::jsonInteger(object, "s"));
     report.dataCentre = core::jsonString(object, "z");
     report.daemons = static_cast<std::size_t>(std::max<std::int64_t>(1, core::jsonInteger(object, "n", 1)));
--- a/gateway/daemonreport.h
+++ b/gateway/daemonreport.h
@@ -22,7 +22,7 @@
     std::string dataCentre; ///< Set if the report is the sum of a data centre.
     std::size_t daemons = 1; ///< That the demand is the sum of.
     limits::Demand demand; ///< Operations per second by workspace.
-    std::uint64_t configurationVersion = 0;
+    std::int64_t metadataRevision = 0; ///< Of the metadata store, up to which the daemon knows all changes.
     core::Milliseconds storeAge{}; ///< Since the metadata store answered last.
     std::set<std::string, std::less<>> leaving; ///< Daemons that are stopping.
     std::map<std::string, failover::PrimaryTracker::Promotion, std::less<>> promotions; ///< By service.
--- a/gateway/gatewaydaemon.cpp
+++ b/gateway/gatewaydaemon.cpp
@@ -1,8 +1,10 @@
 #include "gateway/gatewaydaemon.h"
 
 #include "core/error.h"
+#include "core/hashing.h"
 #include "core/json.h"
 #include "daemon/daemondetail.h"
+#include "gateway/relaychoice.h"
 #include "membership/homeorder.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -30,6 +32,12 @@
 constexpr double HomeProcessorPart = 0.5;
 /// Daemons in the order of homes of a server: the home and those that are tried when it cannot reach the server.
 constexpr std::size_t HomesPerServer = 4;
+/// A daemon that has not reported for this long does not relay.
+constexpr std::chrono::milliseconds RelayReportLife{1'200};
+/// A relay whose watch has said nothing for this long takes changes from others without waiting for it.
+constexpr std::chrono::milliseconds MetadataSilence{10'000};
+/// Between attempts to reach the metadata store, varied by half in both directions.
+constexpr std::chrono::milliseconds MetadataRetry{300};
 /// The balancer takes a daemon out after two missed questions, one second apart.
 constexpr std::chrono::milliseconds BalancerLag{2'200};
 /// Idle sessions are closed in this many steps, so that their callers do not reconnect all at once.
@@ -54,6 +62,11 @@
                                  .log = &this->log,
                                  .metrics = &this->metrics})
     , peers(this->context.get_executor())
+    , mirror(this->adapter.format,
+             MetadataCallbacks{.onServers = [this] { this->applyServers(); },
+                               .onOwnEntry = [this](const OwnEntry &entry) { this->applyOwnEntry(entry); },
+                               .onConfiguration = [this] { this->publishView(); }},
+             this->log)
     , shares(this->adapter.deployment.daemonId, core::Clock::now())
 {
 }
@@ -104,7 +117,7 @@
 
 bool GatewayDaemon::isReady() const
 {
-    return !this->leaving && this->sync->configuration() != nullptr && !this->sync->servers().empty();
+    return !this->leaving && this->mirror.configuration() != nullptr && !this->mirror.servers().empty();
 }
 
 void GatewayDaemon::startMembership()
@@ -140,21 +153,52 @@
 }
 
 void GatewayDaemon::startStore()
+{
+    this->store = this->adapter.openStore(this->context.get_executor(),
+                                          [this] { return this->adapter.deployment.metadataStore; });
+    this->startMetadata();
+    this->startDuty();
+}
+
+void GatewayDaemon::startMetadata()
+{
+    const net::Executor executor = this->context.get_executor();
+    const MetadataFormat &format = this->adapter.format;
+    this->source = std::make_shared<MetadataSource>(
+        executor,
+        this->store,
+        std::vector<std::string>{format.configurationKey, format.serverPrefix, std::string(OwnKeyPrefix)},
+        this->log);
+    daemon::ConfigurationCallbacks callbacks;
+    callbacks.isRelay = [this] { return this->isRelay(); };
+    callbacks.peers = [this] { return this->metadataPeers(); };
+    callbacks.isNear = [this](std::string_view daemon) {
+        const auto peer = this->view->daemons.find(daemon);
+        return peer != this->view->daemons.end()
+            && this->view->regionOf(peer->second.dataCentre) == this->adapter.deployment.region;
+    };
+    callbacks.exchange = [this](std::string daemon, json::object request) {
+        return this->exchangeMetadata(std::move(daemon), std::move(request));
+    };
+    callbacks.revisionRaised = [this](const confsync::EntryStore &entries) { this->applyMetadata(entries); };
+    daemon::ConfigurationOptions options;
+    options.watchSilence = MetadataSilence;
+    options.retryInterval = MetadataRetry;
+    options.seed = core::stableHash(this->adapter.deployment.daemonId);
+    this->metadata = std::make_shared<daemon::ConfigurationService>(
+        executor, this->source, std::move(options), std::move(callbacks));
+    this->metadata->start();
+}
+
+void GatewayDaemon::startDuty()
 {
     const net::Executor executor = this->context.get_executor();
-    this->store = this->adapter.openStore(executor, [this] { return this->adapter.deployment.metadataStore; });
-    MetadataCallbacks callbacks{.onConfiguration
-                                = [this](const std::shared_ptr<const Configuration> &) { this->publishView(); },
-                                .onServers = [this] { this->applyServers(); },
-                                .onOwnItem = [this](const MetadataItem &item) { this->applyOwnItem(item); },
-                                .onComplete = [this] { this->lease->onStoreRead(); }};
-    this->sync
-        = std::make_shared<MetadataSync>(executor, this->store, this->adapter.format, std::move(callbacks), this->log);
     const Deployment &deployment = this->adapter.deployment;
     const json::object registration{{"address", datagramAddress(deployment.peerListen)},
                                     {"data_centre", deployment.dataCentre},
                                     {"processor_share", deployment.processorShare}};
-    DaemonLeaseCallbacks leaseCallbacks{.onContact = [this] { this->renewedAt = core::Clock::now(); },
+    DaemonLeaseCallbacks leaseCallbacks{.mayCompete = [this] { return this->isRelay(); },
+                                        .onContact = [this] { this->renewedAt = core::Clock::now(); },
                                         .onElected = [this](std::uint64_t revision) { this->duty->start(revision); },
                                         .onDutyLost = [this](const std::string &) { this->duty->stop(); }};
     this->lease = std::make_shared<DaemonLease>(
@@ -188,14 +232,13 @@
         = this->adapter.openPromotions(executor, [this] { return this->adapter.deployment.promotionService; });
     this->duty = std::make_shared<PromotionDuty>(
         executor, deployment.daemonId, std::move(orders), std::move(surroundings), this->log);
-    asio::co_spawn(executor, this->sync->run(), asio::detached);
     asio::co_spawn(executor, this->lease->run(), asio::detached);
 }
 
 core::Milliseconds GatewayDaemon::storeAge() const
 {
-    const core::TimePoint contact
-        = std::max(this->sync->lastContact().value_or(core::TimePoint()), this->renewedAt.value_or(core::TimePoint()));
+    const core::TimePoint contact = std::max(this->source->lastContact().value_or(core::TimePoint()),
+                                             this->renewedAt.value_or(core::TimePoint()));
     return std::chrono::duration_cast<core::Milliseconds>(core::Clock::now() - contact);
 }
 
@@ -215,10 +258,75 @@
     });
 }
 
-void GatewayDaemon::applyOwnItem(const MetadataItem &item)
+core::TimePoint GatewayDaemon::fleetStoreContact() const
+{
+    core::TimePoint newest = core::Clock::now() - this->storeAge();
+    for (const auto &[reporter, age] : this->storeAges) {
+        const auto reported = this->reportedAt.find(reporter);
+        if (reported != this->reportedAt.end()) {
+            newest = std::max<core::TimePoint>(newest, reported->second - age);
+        }
+    }
+    return newest;
+}
+
+bool GatewayDaemon::isRelay() const
+{
+    const Deployment &deployment = this->adapter.deployment;
+    std::vector<RelayCandidate> candidates;
+    candidates.push_back(
+        {.id = deployment.daemonId, .processorShare = deployment.processorShare, .storeAge = this->storeAge()});
+    const core::TimePoint now = core::Clock::now();
+    for (const PeerDaemon *const colleague : this->colleagues()) {
+        const auto reported = this->reportedAt.find(colleague->id);
+        const bool isHeard = reported != this->reportedAt.end() && now - reported->second < RelayReportLife;
+        if (!isHeard || colleague->isSuspect || this->leavingDaemons.contains(colleague->id)) {
+            continue;
+        }
+        const auto age = std::chrono::duration_cast<core::Milliseconds>(now - reported->second);
+        candidates.push_back({.id = colleague->id,
+                              .processorShare = colleague->processorShare,
+                              .storeAge = this->storeAges.at(colleague->id) + age});
+    }
+    const std::vector<std::string> relays = chooseRelays(deployment.dataCentre, candidates);
+    return std::ranges::find(relays, deployment.daemonId) != relays.end();
+}
+
+std::vector<std::string> GatewayDaemon::metadataPeers() const
+{
+    std::vector<std::pair<int, std::string>> ranked;
+    for (const auto &[id, daemon] : this->view->daemons) {
+        if (id == this->adapter.deployment.daemonId || daemon.isSuspect) {
+            continue;
+        }
+        const bool isColleague = daemon.dataCentre == this->adapter.deployment.dataCentre;
+        const bool isNear = this->view->regionOf(daemon.dataCentre) == this->adapter.deployment.region;
+        ranked.emplace_back(isColleague ? 0 : isNear ? 1 : 2, id);
+    }
+    std::ranges::sort(ranked);
+    std::vector<std::string> peers;
+    for (auto &[rank, id] : ranked) {
+        peers.push_back(std::move(id));
+    }
+    return peers;
+}
+
+void GatewayDaemon::applyMetadata(const confsync::EntryStore &entries)
+{
+    const std::shared_ptr<const Configuration> before = this->mirror.configuration();
+    this->metadataSnapshot = std::make_shared<const confsync::EntryStore>(entries);
+    this->mirror.apply(entries, core::Clock::now());
+    this->lease->onStoreRead();
+    this->scheduleView();
+    if (this->mirror.configuration() != before) {
+        this->sendReport();
+    }
+}
+
+void GatewayDaemon::applyOwnEntry(const OwnEntry &item)
 {
     if (item.key == DaemonLease::dutyKey()) {
-        this->lease->onDutyItem(item);
+        this->lease->onDutyEntry(item);
         return;
     }
     const std::string prefix = DaemonLease::registrationPrefix();
@@ -251,11 +359,11 @@
 
 void GatewayDaemon::applyServers()
 {
-    for (const auto &[id, server] : this->sync->servers()) {
+    for (const auto &[id, server] : this->mirror.servers()) {
         this->primaries.reportRole(server.service, id, server.claimsPrimary, server.revision);
     }
     for (const auto &[id, server] : this->view->servers) {
-        if (!this->sync->servers().contains(id)) {
+        if (!this->mirror.servers().contains(id)) {
             this->primaries.remove(server.service, id);
         }
     }
@@ -315,8 +423,8 @@
 {
     const Deployment &deployment = this->adapter.deployment;
     GatewayView next;
-    next.configuration = this->sync->configuration();
-    next.servers = this->sync->servers();
+    next.configuration = this->mirror.configuration();
+    next.servers = this->mirror.servers();
     next.regionOfDataCentre = deployment.regionOfDataCentre;
     next.self = deployment.daemonId;
     next.isLeaving = this->leaving;
@@ -345,11 +453,9 @@
             }
         }
     }
-    this->sync->setWatchers(next.daemons.size());
+    next.metadata = this->metadataSnapshot;
+    this->source->setWatchers(next.regionOfDataCentre.size() * RelaysPerDataCentre);
     this->addHomes(next);
-    if (next.configuration != nullptr) {
-        this->gossip->setConfigRevision(next.configuration->version, false);
-    }
     const bool isNewConfiguration = next.configuration != this->view->configuration;
     this->view = std::make_shared<const GatewayView>(std::move(next));
     if (isNewConfiguration) {
@@ -365,7 +471,7 @@
     while (true) {
         timer.expires_after(TickInterval);
         co_await timer.async_wait(UseTuple);
-        this->sync->tick(core::Clock::now());
+        this->mirror.tick(this->fleetStoreContact());
     }
 }
 
--- a/gateway/gatewaydaemon.h
+++ b/gateway/gatewaydaemon.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "daemon/configservice.h"
 #include "daemon/gossipservice.h"
 #include "gateway/daemonlease.h"
 #include "gateway/daemonreport.h"
-#include "gateway/metadatasync.h"
+#include "gateway/metadatamirror.h"
+#include "gateway/metadatasource.h"
 #include "gateway/promotionduty.h"
 #include "gateway/trafficcore.h"
 #include "net/httpserver.h"
@@ -44,12 +46,14 @@
     void startMembership();
     void startReadiness();
     void startStore();
+    void startMetadata();
+    void startDuty();
     net::awaitable<void> tickLoop();
     net::awaitable<void> reportLoop();
     net::awaitable<void> signalLoop();
     net::awaitable<void> watchSettings();
     net::awaitable<void> shutDown();
-    net::awaitable<void> fetchConfiguration(net::TcpEndpoint endpoint);
+    net::awaitable<boost::json::object> exchangeMetadata(std::string daemon, boost::json::object request);
     net::HttpResponse answerReadiness(const net::HttpRequest &request) const;
     void receiveReport(std::string_view payload);
     void applyLeaving(const DaemonReport &report);
@@ -61,7 +65,8 @@
     std::string delegateOf(std::string_view dataCentre) const;
     std::vector<const PeerDaemon *> colleagues() const;
     std::vector<const PeerDaemon *> otherDelegates() const;
-    void applyOwnItem(const MetadataItem &item);
+    void applyMetadata(const confsync::EntryStore &entries);
+    void applyOwnEntry(const OwnEntry &entry);
     void applyServers();
     void applyPromotion(const std::string &service, const std::string &server, std::uint64_t fence);
     void scheduleView();
@@ -71,6 +76,9 @@
     bool isReady() const;
     bool mayOrderPromotions() const;
     core::Milliseconds storeAge() const;
+    core::TimePoint fleetStoreContact() const;
+    bool isRelay() const;
+    std::vector<std::string> metadataPeers() const;
     void addHomes(GatewayView &view) const;
 
     /// What a daemon's key in the metadata store says of it.
@@ -86,13 +94,16 @@
     boost::asio::io_context context{1};
     TrafficCore traffic;
     std::shared_ptr<MetadataStore> store;
-    std::shared_ptr<MetadataSync> sync;
+    std::shared_ptr<MetadataSource> source;
+    std::shared_ptr<daemon::ConfigurationService> metadata;
+    std::shared_ptr<const confsync::EntryStore> metadataSnapshot; ///< Of the last applied revision.
     std::shared_ptr<DaemonLease> lease;
     std::shared_ptr<PromotionDuty> duty;
     std::shared_ptr<daemon::GossipService> gossip;
     std::shared_ptr<net::UdpSocket> reports;
     std::shared_ptr<net::HttpServer> readiness;
     net::PeerClient peers;
+    MetadataMirror mirror;
     failover::PrimaryTracker primaries;
     limits::DemandShares shares;
     limits::Demand demand; ///< Decayed average of this daemon.
@@ -105,7 +116,6 @@
     std::shared_ptr<const GatewayView> view = std::make_shared<GatewayView>();
     std::optional<core::TimePoint> renewedAt; ///< Last renewal of the lease.
     bool viewPending = false;
-    bool fetching = false;
     bool leaving = false;
 };
 
--- a/gateway/gatewayreports.cpp
+++ b/gateway/gatewayreports.cpp
@@ -25,7 +25,8 @@
 constexpr std::chrono::milliseconds LocalReportLife{2'500};
 /// Weight of the newest report interval in the average demand.
 constexpr double DemandWeight = 0.3;
-constexpr std::chrono::milliseconds ConfigurationTimeout{1'500};
+constexpr std::chrono::milliseconds MetadataExchangeTimeout{1'500};
+constexpr int StatusOk = 200;
 /// A store that has answered within this time, one renewal and its answer, is in contact.
 constexpr std::chrono::milliseconds LeaseRenewalAge{2'900};
 
@@ -69,7 +70,7 @@
         }
         this->shares.setLeaseHolders(std::move(holders), now);
     }
-    const std::shared_ptr<const Configuration> configuration = this->sync->configuration();
+    const std::shared_ptr<const Configuration> configuration = this->mirror.configuration();
     if (configuration == nullptr) {
         return;
     }
@@ -94,11 +95,10 @@
 
 DaemonReport GatewayDaemon::ownReport() const
 {
-    const std::shared_ptr<const Configuration> configuration = this->sync->configuration();
     const std::string &self = this->adapter.deployment.daemonId;
     return {.daemon = self,
             .demand = this->demand,
-            .configurationVersion = configuration == nullptr ? 0 : configuration->version,
+            .metadataRevision = this->metadata->revision(),
             .storeAge = this->storeAge(),
             .leaving = this->leaving ? std::set<std::string, std::less<>>{self} : std::set<std::string, std::less<>>(),
             .promotions = this->primaries.promotions()};
@@ -223,13 +223,7 @@
     for (const auto &[service, promotion] : report.promotions) {
         this->applyPromotion(service, promotion.server, promotion.fence);
     }
-    const std::shared_ptr<const Configuration> configuration = this->sync->configuration();
-    const std::uint64_t version = configuration == nullptr ? 0 : configuration->version;
-    const auto peer = this->view->daemons.find(report.daemon);
-    if (report.configurationVersion > version && !this->fetching && peer != this->view->daemons.end()) {
-        this->fetching = true;
-        asio::co_spawn(this->context, this->fetchConfiguration(peer->second.endpoint), asio::detached);
-    }
+    this->metadata->noticeRevision(report.daemon, report.metadataRevision);
 }
 
 void GatewayDaemon::applyLeaving(const DaemonReport &report)
@@ -250,19 +244,20 @@
     }
 }
 
-net::awaitable<void> GatewayDaemon::fetchConfiguration(net::TcpEndpoint endpoint)
+net::awaitable<json::object> GatewayDaemon::exchangeMetadata(std::string daemon, json::object request)
 {
-    net::HttpRequest request{.target = std::string(ConfigurationPath)};
-    try {
-        const net::HttpResponse response
-            = co_await this->peers.exchange(endpoint, std::move(request), ConfigurationTimeout);
-        if (!response.body.empty()) {
-            this->sync->offerConfiguration(response.body);
-        }
-    } catch (const core::Error &error) {
-        this->log.line("configuration_not_fetched", telemetry::LogLevel::Warning).field("reason", error.message);
+    const auto peer = this->view->daemons.find(daemon);
+    if (peer == this->view->daemons.end()) {
+        throw core::Error(core::ResultCode::PeerUnreachable, "unknown daemon " + daemon);
+    }
+    const net::TcpEndpoint endpoint = peer->second.endpoint;
+    net::HttpRequest message = net::jsonRequest(MetadataPath, request);
+    const net::HttpResponse response
+        = co_await this->peers.exchange(endpoint, std::move(message), MetadataExchangeTimeout);
+    if (response.status != StatusOk) {
+        throw core::Error(core::ResultCode::PeerUnreachable, "status " + std::to_string(response.status));
     }
-    this->fetching = false;
+    co_return core::valueOrThrow([&response] { return core::parseJsonObject(response.body); });
 }
 
 }
--- a/gateway/gatewayview.h
+++ b/gateway/gatewayview.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "confsync/entrystore.h"
 #include "gateway/configuration.h"
 
 #include <memory>
@@ -24,6 +25,7 @@
 struct GatewayView
 {
     std::shared_ptr<const Configuration> configuration;
+    std::shared_ptr<const confsync::EntryStore> metadata; ///< What this daemon can give to others.
     ServerCatalogue servers;
     std::map<std::string, std::string, std::less<>> primaries; ///< Server id by service.
     std::map<std::string, PeerDaemon, std::less<>> daemons; ///< Live ones, this one included.
--- /dev/null
+++ b/gateway/metadatasource.cpp
@@ -0,0 +1,138 @@
+#include "gateway/metadatasource.h"
+
+#include "core/error.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace endiveshore::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+
+/// A watch that has gone silent is noticed after this time; every relay pays for one call each time that it passes.
+constexpr std::chrono::milliseconds WatchWait{8'000};
+constexpr std::chrono::milliseconds ReadTimeout{1'500};
+/// Pause between two watches for each daemon that watches.
+constexpr std::chrono::milliseconds PausePerWatcher{15};
+constexpr std::chrono::milliseconds LongestPause{1'200};
+
+}
+
+MetadataSource::MetadataSource(net::Executor executor,
+                               std::shared_ptr<MetadataStore> store,
+                               std::vector<std::string> prefixes,
+                               telemetry::DecisionLog &log)
+    : executor(std::move(executor))
+    , store(std::move(store))
+    , prefixes(std::move(prefixes))
+    , log(log)
+{
+}
+
+net::awaitable<daemon::ConfigurationSnapshot> MetadataSource::read()
+{
+    daemon::ConfigurationSnapshot snapshot;
+    std::optional<std::uint64_t> revision;
+    std::string after;
+    bool hasMore = true;
+    try {
+        while (hasMore) {
+            MetadataPage page = co_await this->store->range(std::string(), after, ReadTimeout);
+            this->noteContact();
+            // The watch goes on from the first page, so changes between pages are seen again rather than missed.
+            revision = std::min(page.revision, revision.value_or(page.revision));
+            hasMore = page.hasMore && !page.items.empty();
+            after = page.items.empty() ? after : page.items.back().key;
+            std::ranges::move(this->changesOf(std::move(page.items)), std::back_inserter(snapshot.entries));
+        }
+    } catch (const core::Error &error) {
+        this->noteLoss(error.message);
+        throw;
+    }
+    snapshot.revision = static_cast<std::int64_t>(revision.value_or(0));
+    co_return snapshot;
+}
+
+net::awaitable<daemon::FollowEnd> MetadataSource::follow(std::int64_t revision, daemon::FollowCallback callback)
+{
+    while (true) {
+        MetadataPage page;
+        try {
+            page = co_await this->store->watch(std::string(), static_cast<std::uint64_t>(revision), WatchWait);
+        } catch (const core::Error &error) {
+            this->noteLoss(error.message);
+            co_return daemon::FollowEnd::Lost;
+        }
+        this->noteContact();
+        if (page.historyLost) {
+            this->log.line("store_history_lost").field("revision", revision);
+            co_return daemon::FollowEnd::Compacted;
+        }
+        revision = std::max(revision, static_cast<std::int64_t>(page.revision));
+        const std::vector<confsync::EntryChange> changes = this->changesOf(std::move(page.items));
+        if (!callback(changes, revision)) {
+            co_return daemon::FollowEnd::Stopped;
+        }
+        // Changes often come in series; in a large fleet one call for several of them saves the store many.
+        asio::steady_timer pause(
+            this->executor,
+            std::min<std::chrono::milliseconds>(static_cast<int>(this->watchers) * PausePerWatcher, LongestPause));
+        co_await pause.async_wait(UseTuple);
+    }
+}
+
+std::vector<confsync::EntryChange> MetadataSource::changesOf(std::vector<MetadataItem> items) const
+{
+    std::vector<confsync::EntryChange> changes;
+    for (MetadataItem &item : items) {
+        if (!this->isFollowed(item.key)) {
+            continue;
+        }
+        changes.push_back({.key = std::move(item.key),
+                           .value = std::move(item.value),
+                           .version = static_cast<std::int64_t>(item.revision),
+                           .deleted = item.isRemoved});
+    }
+    return changes;
+}
+
+bool MetadataSource::isFollowed(std::string_view key) const
+{
+    return std::ranges::any_of(this->prefixes, [key](const std::string &prefix) { return key.starts_with(prefix); });
+}
+
+void MetadataSource::setWatchers(std::size_t daemons)
+{
+    this->watchers = std::max<std::size_t>(1, daemons);
+}
+
+std::optional<core::TimePoint> MetadataSource::lastContact() const
+{
+    return this->contact;
+}
+
+void MetadataSource::noteContact()
+{
+    this->contact = core::Clock::now();
+    if (!this->reachable) {
+        this->reachable = true;
+        this->log.line("store_reached");
+    }
+}
+
+void MetadataSource::noteLoss(std::string_view reason)
+{
+    if (this->reachable) {
+        this->reachable = false;
+        this->log.line("store_lost", telemetry::LogLevel::Warning).field("reason", reason);
+    }
+}
+
+}
--- /dev/null
+++ b/gateway/metadatasource.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "daemon/configurationsource.h"
+#include "gateway/metadatastore.h"
+#include "telemetry/decisionlog.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace endiveshore::gateway {
+
+/// Keys of the platform's metadata store that the daemons follow. Runs on the control thread.
+class MetadataSource : public daemon::ConfigurationSource
+{
+public:
+    /// Reports keys that begin with one of @p prefixes.
+    MetadataSource(net::Executor executor,
+                   std::shared_ptr<MetadataStore> store,
+                   std::vector<std::string> prefixes,
+                   telemetry::DecisionLog &log);
+
+    net::awaitable<daemon::ConfigurationSnapshot> read() override;
+    net::awaitable<daemon::FollowEnd> follow(std::int64_t revision, daemon::FollowCallback callback) override;
+
+    /// Daemons that watch the store, this one included. The more there are, the less often each of them asks.
+    void setWatchers(std::size_t daemons);
+
+    /// When the store answered last; nothing if it never did.
+    std::optional<core::TimePoint> lastContact() const;
+
+private:
+    void noteContact();
+    void noteLoss(std::string_view reason);
+    bool isFollowed(std::string_view key) const;
+    std::vector<confsync::EntryChange> changesOf(std::vector<MetadataItem> items) const;
+
+    net::Executor executor;
+    std::shared_ptr<MetadataStore> store;
+    std::vector<std::string> prefixes;
+    telemetry::DecisionLog &log;
+    std::size_t watchers = 1;
+    std::optional<core::TimePoint> contact;
+    bool reachable = false;
+};
+
+}
--- /dev/null
+++ b/gateway/relaychoice.cpp
@@ -0,0 +1,53 @@
+#include "gateway/relaychoice.h"
+
+#include "core/hashing.h"
+
+#include <algorithm>
+
+namespace endiveshore::gateway {
+
+namespace {
+
+/// A daemon whose last contact is older has missed a renewal of its lease: the store does not serve it.
+constexpr std::chrono::milliseconds ContactLife{3'200};
+/// Daemons with at least this part of the largest processor share come first.
+constexpr double StrongPart = 0.5;
+
+std::vector<std::string> idsOf(std::span<const RelayCandidate> candidates)
+{
+    std::vector<std::string> ids;
+    for (const RelayCandidate &candidate : candidates) {
+        ids.push_back(candidate.id);
+    }
+    return ids;
+}
+
+}
+
+std::vector<std::string> chooseRelays(std::string_view dataCentre, std::span<const RelayCandidate> candidates)
+{
+    std::vector<RelayCandidate> usable;
+    double largestShare = 0;
+    for (const RelayCandidate &candidate : candidates) {
+        if (candidate.storeAge < ContactLife) {
+            usable.push_back(candidate);
+            largestShare = std::max(largestShare, candidate.processorShare);
+        }
+    }
+    if (usable.empty()) {
+        return idsOf(candidates);
+    }
+    const auto weak = std::ranges::stable_partition(usable, [largestShare](const RelayCandidate &candidate) {
+        return candidate.processorShare >= StrongPart * largestShare;
+    });
+    const std::string key = "relay/" + std::string(dataCentre);
+    const std::span<const RelayCandidate> all(usable);
+    const std::size_t strongCount = usable.size() - weak.size();
+    std::vector<std::string> relays = core::rendezvousOrder(key, idsOf(all.first(strongCount)));
+    const std::vector<std::string> rest = core::rendezvousOrder(key, idsOf(all.subspan(strongCount)));
+    relays.insert(relays.end(), rest.begin(), rest.end());
+    relays.resize(std::min(relays.size(), RelaysPerDataCentre));
+    return relays;
+}
+
+}
--- a/gateway/trafficcore.cpp
+++ b/gateway/trafficcore.cpp
@@ -1,5 +1,6 @@
 #include "gateway/trafficcore.h"
 
+#include "confsync/deltamessage.h"
 #include "core/error.h"
 #include "core/json.h"
 #include "gateway/workmessage.h"
@@ -116,9 +117,8 @@
 
 net::awaitable<net::HttpResponse> TrafficCore::servePeer(net::HttpRequest request)
 {
-    if (request.target == ConfigurationPath) {
-        const std::shared_ptr<const Configuration> known = this->view->configuration;
-        co_return net::HttpResponse{.status = StatusOk, .body = known == nullptr ? std::string() : known->text};
+    if (request.target == MetadataPath) {
+        co_return net::jsonResponse(StatusOk, this->answerMetadata(request));
     }
     if (request.target == RatePath) {
         const boost::json::object body = core::valueOrThrow([&request] { return core::parseJsonObject(request.body); });
@@ -135,6 +135,18 @@
     co_return net::jsonResponse(StatusOk, toJson(result));
 }
 
+boost::json::object TrafficCore::answerMetadata(const net::HttpRequest &request) const
+{
+    const std::shared_ptr<const confsync::EntryStore> known = this->view->metadata;
+    if (known == nullptr) {
+        throw core::Error(core::ResultCode::NotReady, "no metadata yet");
+    }
+    return core::valueOrThrow([&]() -> boost::leaf::result<boost::json::object> {
+        BOOST_LEAF_AUTO(body, core::parseJsonObject(request.body));
+        return confsync::answerDeltaRequest(*known, body);
+    });
+}
+
 void TrafficCore::publish(std::shared_ptr<const GatewayView> newView)
 {
     asio::post(this->context, [this, newView = std::move(newView)] {
--- a/gateway/trafficcore.h
+++ b/gateway/trafficcore.h
@@ -20,8 +20,8 @@
     telemetry::Metrics *metrics = nullptr;
 };
 
-/// Path on which daemons give each other the configuration in force.
-inline constexpr std::string_view ConfigurationPath = "/peer/configuration";
+/// Path on which daemons give each other what they have read of the metadata store.
+inline constexpr std::string_view MetadataPath = "/peer/metadata";
 
 /// The traffic thread: caller sessions, server connections, and units of work for other daemons. The public functions
 /// may be called from the control thread.
@@ -59,6 +59,7 @@
     net::awaitable<void> acceptLoop();
     net::awaitable<void> tickLoop();
     net::awaitable<net::HttpResponse> servePeer(net::HttpRequest request);
+    boost::json::object answerMetadata(const net::HttpRequest &request) const;
     void updateRates();
 
     TrafficCoreOptions options;
--- a/tests/daemon/test_configservice.cpp
+++ b/tests/daemon/test_configservice.cpp
@@ -1,5 +1,6 @@
 #include "core/error.h"
 #include "daemon/configservice.h"
+#include "daemon/storeclientsource.h"
 #include "standins/storestandin.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -81,8 +82,10 @@
             EXPECT_GT(entries.revision(), daemon.raised);
             daemon.raised = entries.revision();
         };
+        auto source = std::make_shared<StoreClientSource>(
+            daemon.client, StoreClientSourceOptions{.watchSilence = options.watchSilence});
         daemon.service = std::make_shared<ConfigurationService>(
-            this->context.get_executor(), daemon.client, std::move(options), std::move(callbacks));
+            this->context.get_executor(), std::move(source), std::move(options), std::move(callbacks));
         daemon.service->start();
     }
 
--- a/tests/gateway/fakemetadatastore.h
+++ b/tests/gateway/fakemetadatastore.h
@@ -3,7 +3,14 @@
 #include "core/error.h"
 #include "gateway/metadatastore.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -17,23 +24,67 @@
     bool down = false; ///< No call is carried out.
     std::string loseAnswerOf; ///< Key whose next change is carried out without an answer.
     std::map<std::string, MetadataItem> items;
+    std::size_t pageSize = 500; ///< Items that a range returns at once.
+    std::function<void()> onPage; ///< Called after each page of a range.
+    int watches = 0;
 
-    net::awaitable<MetadataPage> range(std::string prefix, std::string, core::Duration) override
+    net::awaitable<MetadataPage> range(std::string prefix, std::string after, core::Duration) override
     {
         this->failIfDown();
         MetadataPage page{.revision = this->revision};
         for (const auto &[key, item] : this->items) {
-            if (key.starts_with(prefix)) {
-                page.items.push_back(item);
+            if (!key.starts_with(prefix) || key <= after) {
+                continue;
+            }
+            if (page.items.size() == this->pageSize) {
+                page.hasMore = true;
+                break;
             }
+            page.items.push_back(item);
+        }
+        if (this->onPage) {
+            this->onPage();
         }
         co_return page;
     }
 
-    net::awaitable<MetadataPage> watch(std::string, std::uint64_t, core::Milliseconds) override
+    /// Answers at once with what has changed; without a change after the answer time of a store.
+    net::awaitable<MetadataPage> watch(std::string, std::uint64_t after, core::Milliseconds) override
     {
+        constexpr std::chrono::milliseconds AnswerTime{5};
+        boost::asio::steady_timer pause(co_await boost::asio::this_coro::executor, AnswerTime);
+        co_await pause.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+        ++this->watches;
         this->failIfDown();
-        co_return MetadataPage{.historyLost = true};
+        if (after < this->forgottenUpTo) {
+            co_return MetadataPage{.historyLost = true};
+        }
+        MetadataPage page{.revision = this->revision};
+        for (const MetadataItem &change : this->history) {
+            if (change.revision > after) {
+                page.items.push_back(change);
+            }
+        }
+        co_return page;
+    }
+
+    /// Writes or, without a value, removes a key as the operator or a server would.
+    void put(const std::string &key, const std::optional<std::string> &value)
+    {
+        MetadataItem item{.key = key, .value = value.value_or(""), .revision = ++this->revision, .isRemoved = !value};
+        this->history.push_back(item);
+        if (value) {
+            this->items[key] = std::move(item);
+        } else {
+            this->items.erase(key);
+        }
+    }
+
+    /// The changes so far can no longer be watched.
+    void forgetHistory()
+    {
+        this->history.clear();
+        this->forgottenUpTo = this->revision;
     }
 
     net::awaitable<MetadataSwap> swap(std::vector<MetadataChange> changes, core::Duration) override
@@ -101,6 +152,8 @@
     }
 
     std::set<std::uint64_t> leases;
+    std::vector<MetadataItem> history;
+    std::uint64_t forgottenUpTo = 0;
     std::uint64_t lastLease = 0;
 };
 
--- a/tests/gateway/test_daemonlease.cpp
+++ b/tests/gateway/test_daemonlease.cpp
@@ -24,12 +24,14 @@
         std::shared_ptr<DaemonLease> lease;
         std::uint64_t elected = 0;
         int lost = 0;
+        bool mayCompete = true;
     };
 
     std::shared_ptr<Daemon> startDaemon(const std::string &id)
     {
         auto daemon = std::make_shared<Daemon>();
-        DaemonLeaseCallbacks callbacks{.onContact = [] {},
+        DaemonLeaseCallbacks callbacks{.mayCompete = [daemon] { return daemon->mayCompete; },
+                                       .onContact = [] {},
                                        .onElected = [daemon](std::uint64_t revision) { daemon->elected = revision; },
                                        .onDutyLost = [daemon](const std::string &) { ++daemon->lost; }};
         daemon->lease = std::make_shared<DaemonLease>(this->context.get_executor(),
@@ -46,10 +48,11 @@
     void report(const Daemon &daemon)
     {
         const auto found = this->store->items.find(DaemonLease::dutyKey());
-        daemon.lease->onDutyItem(
-            found == this->store->items.end()
-                ? MetadataItem{.key = DaemonLease::dutyKey(), .revision = this->store->revision, .isRemoved = true}
-                : found->second);
+        OwnEntry entry{.key = DaemonLease::dutyKey(), .revision = this->store->revision, .isRemoved = true};
+        if (found != this->store->items.end()) {
+            entry = {.key = found->first, .value = found->second.value, .revision = found->second.revision};
+        }
+        daemon.lease->onDutyEntry(entry);
     }
 
     void runUntil(const std::function<bool()> &done)
@@ -91,6 +94,16 @@
     EXPECT_EQ(daemon->elected, this->store->items.at(DaemonLease::dutyKey()).revision);
 }
 
+// Guards against an election in which every daemon of a large fleet calls the store.
+TEST_F(DaemonLeaseTest, DaemonThatDoesNotCompeteLeavesTheDutyToOthers)
+{
+    const auto follower = this->startDaemon("a");
+    follower->mayCompete = false;
+    const auto relay = this->startDaemon("b");
+    this->runUntil([&] { return relay->elected != 0; });
+    EXPECT_EQ(follower->elected, 0U);
+}
+
 // Guards against a former holder that goes on after its lease has ended and another daemon was elected.
 TEST_F(DaemonLeaseTest, HolderWhoseLeaseEndedLosesTheDuty)
 {
--- a/tests/gateway/test_messages.cpp
+++ b/tests/gateway/test_messages.cpp
@@ -80,7 +80,7 @@
                               .dataCentre = "z1",
                               .daemons = 3,
                               .demand = {{"w", 12.3}},
-                              .configurationVersion = 7,
+                              .metadataRevision = 7,
                               .storeAge = core::Milliseconds(40),
                               .leaving = {"b"},
                               .promotions = {{"s", {.server = "i-1", .fence = 4'200'001}}}};
--- /dev/null
+++ b/tests/gateway/test_metadatamirror.cpp
@@ -0,0 +1,147 @@
+#include "gateway/metadatamirror.h"
+
+#include <gtest/gtest.h>
+
+namespace endiveshore::gateway {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr core::TimePoint Start = core::TimePoint(1'000s);
+
+/// A mirror whose entries are written as plain words: `config/main` holds a version, `servers/ID` holds
+/// "primary", "replica", "leaving" or anything else for an entry that cannot be read.
+class MetadataMirrorTest : public testing::Test
+{
+protected:
+    MetadataMirrorTest()
+        : mirror(format(),
+                 MetadataCallbacks{.onServers =
+                                       [this] {
+                                           ++this->serverChanges;
+                                           this->serversKnownFirst = this->configurationChanges == 0;
+                                       },
+                                   .onOwnEntry = [this](const OwnEntry &entry) { this->ownEntries.push_back(entry); },
+                                   .onConfiguration = [this] { ++this->configurationChanges; }},
+                 this->log)
+    {
+    }
+
+    static MetadataFormat format()
+    {
+        return {
+            .configurationKey = "config/main",
+            .serverPrefix = "servers/",
+            .readConfiguration = [](std::string_view text) -> std::optional<Configuration> {
+                Configuration read;
+                read.version = std::strtoull(std::string(text).c_str(), nullptr, 10);
+                return read.version == 0 ? std::nullopt : std::optional(read);
+            },
+            .readServer
+            = [](std::string_view key, std::string_view text, std::uint64_t revision) -> std::optional<BackendServer> {
+                if (text != "primary" && text != "replica" && text != "leaving") {
+                    return std::nullopt;
+                }
+                return BackendServer{.id = std::string(key.substr(std::string_view("servers/").size())),
+                                     .service = "db",
+                                     .slots = 5,
+                                     .isLeaving = text == "leaving",
+                                     .claimsPrimary = text == "primary",
+                                     .revision = revision};
+            }};
+    }
+
+    void change(std::vector<confsync::EntryChange> changes, core::TimePoint now = Start)
+    {
+        const std::int64_t since = this->entries.revision();
+        for (confsync::EntryChange &change : changes) {
+            change.version = since + 1;
+        }
+        this->entries.applyEvents(changes, since, since + 1);
+        this->mirror.apply(this->entries, now);
+    }
+
+    telemetry::DecisionLog log{telemetry::LogOptions{.level = telemetry::LogLevel::Error, .output = "stderr"}};
+    int serverChanges = 0;
+    int configurationChanges = 0;
+    bool serversKnownFirst = false;
+    std::vector<OwnEntry> ownEntries;
+    confsync::EntryStore entries;
+    MetadataMirror mirror;
+};
+
+}
+
+// Guards against sessions that start before the servers of their databases are known.
+TEST_F(MetadataMirrorTest, ServersAreKnownBeforeTheConfigurationIsInForce)
+{
+    this->change({{.key = "config/main", .value = "7"}, {.key = "servers/a", .value = "primary"}});
+    EXPECT_EQ(this->configurationChanges, 1);
+    EXPECT_TRUE(this->serversKnownFirst);
+    EXPECT_TRUE(this->mirror.servers().at("a").claimsPrimary);
+}
+
+// Guards against a configuration that reverts to an older one.
+TEST_F(MetadataMirrorTest, OlderConfigurationIsIgnored)
+{
+    this->change({{.key = "config/main", .value = "7"}});
+    this->change({{.key = "config/main", .value = "5"}});
+    this->change({{.key = "config/main", .value = "unreadable"}});
+    this->change({{.key = "config/main", .deleted = true}});
+    EXPECT_EQ(this->mirror.configuration()->version, 7U);
+    EXPECT_EQ(this->configurationChanges, 1);
+}
+
+// Guards against the loss of servers whose entries only expired while the store was away.
+TEST_F(MetadataMirrorTest, ServerIsKeptUntilTheStoreHasNotShownItForAWhile)
+{
+    this->change({{.key = "servers/a", .value = "replica"}});
+    this->change({{.key = "servers/a", .deleted = true}}, Start);
+    this->mirror.tick(Start + 1s);
+    EXPECT_TRUE(this->mirror.servers().contains("a"));
+    this->change({{.key = "servers/a", .value = "replica"}}, Start + 1'500ms);
+    this->mirror.tick(Start + 10s);
+    EXPECT_TRUE(this->mirror.servers().contains("a"));
+    this->change({{.key = "servers/a", .deleted = true}}, Start + 10s);
+    // No contact with the store since the removal: it may be away again.
+    this->mirror.tick(Start + 10s);
+    EXPECT_TRUE(this->mirror.servers().contains("a"));
+    this->mirror.tick(Start + 13s);
+    EXPECT_FALSE(this->mirror.servers().contains("a"));
+}
+
+// Guards against work for a server named by an entry of another writer.
+TEST_F(MetadataMirrorTest, EntryThatCannotBeReadNamesNoServer)
+{
+    this->change({{.key = "servers/a", .value = "\xff{"}, {.key = "servers/b", .value = "leaving"}});
+    EXPECT_FALSE(this->mirror.servers().contains("a"));
+    EXPECT_TRUE(this->mirror.servers().at("b").isLeaving);
+    this->change({{.key = "servers/b", .value = "unreadable"}}, Start);
+    EXPECT_TRUE(this->mirror.servers().contains("b"));
+    this->mirror.tick(Start + 5s);
+    EXPECT_FALSE(this->mirror.servers().contains("b"));
+}
+
+// Guards against own keys that are missed or reported twice.
+TEST_F(MetadataMirrorTest, OwnEntriesAreReportedOncePerChange)
+{
+    this->change({{.key = "endiveshore/duty/x", .value = "a"}});
+    this->change({{.key = "servers/a", .value = "replica"}});
+    ASSERT_EQ(this->ownEntries.size(), 1U);
+    EXPECT_EQ(this->ownEntries[0].value, "a");
+    this->change({{.key = "endiveshore/duty/x", .deleted = true}});
+    ASSERT_EQ(this->ownEntries.size(), 2U);
+    EXPECT_TRUE(this->ownEntries[1].isRemoved);
+    EXPECT_GT(this->ownEntries[1].revision, this->ownEntries[0].revision);
+}
+
+// Guards against views that are published for every heartbeat of a server.
+TEST_F(MetadataMirrorTest, UnchangedServerIsNoNews)
+{
+    this->change({{.key = "servers/a", .value = "replica"}});
+    this->change({{.key = "servers/a", .value = "replica"}});
+    EXPECT_EQ(this->serverChanges, 1);
+}
+
+}
