Count a transaction whose connection ended with its first answer as not run

Cause: the lines of an answer were read in several turns of the event loop; after a suspension the time limit ended between two of them, so the answer was whole and its connection closed. Ruled out: the server's drop of the dark connection (a lease on it ends in ABORTED), tries at another server (no attempt was logged).

--- a/gateway/pooledserver.cpp
+++ b/gateway/pooledserver.cpp
@@ -339,8 +339,12 @@
     if (begun) {
         result = co_await this->runStatement(*connection, unit, unit.kind == UnitKind::PrimaryRead);
     }
-    if (transaction && begun && connection->link->isOpen() && !result.transactionFailed
-        && (result.outcome == UnitOutcome::Done || result.outcome == UnitOutcome::ServerError)) {
+    const bool answered = result.outcome == UnitOutcome::Done || result.outcome == UnitOutcome::ServerError;
+    if (transaction && begun && answered && !connection->link->isOpen()) {
+        // The transaction ended with its connection; later statements must not run on another one.
+        result = notRun(UnitError::ConnectionLost, "the connection ended with the answer");
+    }
+    if (transaction && begun && answered && connection->link->isOpen() && !result.transactionFailed) {
         result.lease = core::randomHex(LeaseIdBytes);
         this->leases.emplace(result.lease,
                              Lease{.connection = connection, .idleUntil = core::Clock::now() + unit.idleLimit});
--- a/tests/gateway/fakebackend.h
+++ b/tests/gateway/fakebackend.h
@@ -34,6 +34,7 @@
     std::size_t connectionLimit = 100;
     std::chrono::milliseconds work{0};
     std::size_t loseAnswers = 0; ///< Statements of callers that run without an answer.
+    std::size_t closeAfterAnswers = 0; ///< Statements of callers after whose answer the connection ends.
     std::size_t refuse = 0; ///< Connections that are refused as unreachable.
     std::size_t open = 0;
     std::size_t mostOpen = 0;
@@ -107,6 +108,10 @@
                 break;
             }
             replies.push_back(std::move(reply));
+            if (isCaller && this->backend->closeAfterAnswers > 0) {
+                --this->backend->closeAfterAnswers;
+                this->close();
+            }
         }
         co_return replies;
     }
--- a/tests/gateway/test_pooledserver.cpp
+++ b/tests/gateway/test_pooledserver.cpp
@@ -174,6 +174,25 @@
     EXPECT_EQ(this->backend->opened, 1U);
 }
 
+// Guards against a transaction whose later statements run on another connection: its first statement was answered, but
+// its connection has ended since, for example because the VM was suspended meanwhile.
+TEST_F(PooledServerTest, TransactionWhoseConnectionEndedWithTheAnswerHasNotRun)
+{
+    this->backend->closeAfterAnswers = 1;
+    const UnitResult opened = this->run(unit(UnitKind::OpenTransaction, "READ 1a4"));
+    EXPECT_EQ(opened.outcome, UnitOutcome::NotRun);
+    EXPECT_EQ(opened.error, UnitError::ConnectionLost);
+    EXPECT_TRUE(opened.lease.empty());
+}
+
+// Guards against the loss of an answer that arrived in full before its connection ended.
+TEST_F(PooledServerTest, AnswerThatArrivedIsDeliveredThoughTheConnectionEnded)
+{
+    this->backend->closeAfterAnswers = 1;
+    EXPECT_EQ(this->run(unit(UnitKind::Write, "WRITE 1a4 x")).outcome, UnitOutcome::Done);
+    EXPECT_EQ(this->pool->openConnections(), 0U);
+}
+
 // Guards against a caller that leaves or rests inside a transaction and keeps its connection for ever.
 TEST_F(PooledServerTest, RestingTransactionIsRolledBack)
 {
