Hold statements for their route's time, serve reads that accept old data last, and try every server for a short time

Cause: under overload of a primary whose replicas lag, statements were held for 0.35 of their objective, polled the same queue every 40 ms, and were lost after three tries; reads waited out their time at one replica while others were free. Change: holds of 0.95 of the route's time; classes by priority and kind of route that pass each other without limit and run 300 ms of slot time ahead of a workspace's share; ServerSearch decides where a statement is tried next.

--- a/gateway/callersession.cpp
+++ b/gateway/callersession.cpp
@@ -280,7 +280,7 @@
             .id = std::move(id),
             .values = this->values,
             .lease = open.lease,
-            .priority = open.context.route.priority,
+            .urgency = urgencyOf(open.context.route),
             .queueLimit = timeout,
             .statementLimit = timeout,
             .idleLimit = open.context.transactionIdle};
--- /dev/null
+++ b/gateway/configuration.cpp
@@ -0,0 +1,20 @@
+#include "gateway/configuration.h"
+
+namespace endiveshore::gateway {
+
+namespace {
+
+/// Routes up to this priority are urgent.
+constexpr int LastUrgentPriority = 1;
+
+}
+
+queueing::Priority urgencyOf(const Route &route)
+{
+    if (route.priority <= LastUrgentPriority) {
+        return queueing::Priority::Write;
+    }
+    return route.kind == RouteKind::Bounded ? queueing::Priority::StaleRead : queueing::Priority::Read;
+}
+
+}
--- a/gateway/configuration.h
+++ b/gateway/configuration.h
@@ -3,6 +3,7 @@
 #include "core/time.h"
 #include "limits/tokenbucket.h"
 #include "net/asyncio.h"
+#include "queueing/fairschedule.h"
 
 #include <cstdint>
 #include <map>
@@ -32,6 +33,10 @@
     bool isOpen = false; ///< Callers need no key.
 };
 
+/// Class of the route's statements in the queues of servers. Routes of high priority come first; of the others, reads
+/// that accept old data come last, since another server may serve them and their callers can wait.
+queueing::Priority urgencyOf(const Route &route);
+
 struct Service
 {
     std::string name;
--- a/gateway/operationrunner.cpp
+++ b/gateway/operationrunner.cpp
@@ -22,21 +22,22 @@
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 
-/// Part of the latency objective for which a statement is held while no server can run it, for example during a change
-/// of primary. Later the caller does better elsewhere.
-constexpr double HoldPart = 0.8;
-/// Part of the latency objective for which a statement is held while the servers that could run it have full queues.
-/// Waiting longer there only makes others wait, and the caller may come back when the load is lower.
-constexpr double OverloadHoldPart = 0.35;
+/// Part of the route's time for a statement for which it is held until it starts. The rest is for the server's work.
+constexpr double HoldPart = 0.95;
+/// Part of the latency objective for which a statement waits in one queue while another server may have a shorter one.
+constexpr double SpillPart = 0.1;
 /// Part of the latency objective after which a read without an answer is tried at another server.
 constexpr double ReadPatiencePart = 0.4;
 /// Servers that a read is tried at after its answer was lost.
 constexpr int ReadAttempts = 3;
 /// Pause before the next attempt while nothing can run the statement.
 constexpr std::chrono::milliseconds RetryPause{40};
-/// A replica that lacked a position, or a server with a full queue, is passed over for this long by reads.
+/// A replica that lacked a position is passed over for this long by reads.
 constexpr std::chrono::milliseconds BehindPenalty{200};
-constexpr std::chrono::milliseconds QueuePenalty{50};
+/// A server that lost an answer is passed over for this long by reads.
+constexpr std::chrono::milliseconds AnswerPenalty{50};
+/// A server with a long queue comes after others for this long.
+constexpr std::chrono::milliseconds BusyTime{50};
 constexpr std::chrono::milliseconds LostPenalty{500};
 /// A proof must reach the server within the age that a route accepts; this much of the age is left for the way.
 constexpr std::chrono::milliseconds ProofMargin{100};
@@ -44,14 +45,25 @@
 constexpr int ProofRenewalPart = 2;
 constexpr std::chrono::seconds ProofInterest{3};
 constexpr std::chrono::milliseconds ProofLimit{500};
-/// A statement that comes late to its server, for example after a change of primary, may still wait this long there.
-constexpr std::chrono::milliseconds ShortestQueueLimit{60};
 
 std::chrono::milliseconds milliseconds(core::Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
 }
 
+core::Duration partOf(core::Milliseconds whole, double part)
+{
+    return std::chrono::duration_cast<core::Duration>(whole * part);
+}
+
+bool isUntil(const std::map<std::string, core::TimePoint, std::less<>> &times,
+             const std::string &server,
+             core::TimePoint now)
+{
+    const auto found = times.find(server);
+    return found != times.end() && now < found->second;
+}
+
 bool isFinal(const UnitResult &result, bool writes)
 {
     switch (result.outcome) {
@@ -89,12 +101,6 @@
     return this->view->regionOf(self->second.dataCentre) == this->view->regionOf(server.dataCentre) ? 1 : 2;
 }
 
-bool OperationRunner::isPenalised(const std::string &server, core::TimePoint now) const
-{
-    const auto found = this->penalisedUntil.find(server);
-    return found != this->penalisedUntil.end() && now < found->second;
-}
-
 void OperationRunner::penalise(const std::string &server, core::Duration time)
 {
     this->penalisedUntil[server] = core::Clock::now() + time;
@@ -122,23 +128,27 @@
     return order;
 }
 
-std::optional<OperationRunner::ReadPlan> OperationRunner::planRead(const OperationContext &context, core::TimePoint now)
+std::vector<OperationRunner::Plan>
+OperationRunner::plans(const OperationContext &context, bool readOnly, core::TimePoint now)
+{
+    if (readOnly && context.route.kind != RouteKind::Primary) {
+        return this->readPlans(context, now);
+    }
+    const BackendServer *const primary = this->view->primary(context.route.service);
+    return primary == nullptr ? std::vector<Plan>() : std::vector<Plan>{{.server = primary, .atPrimary = true}};
+}
+
+std::vector<OperationRunner::Plan> OperationRunner::readPlans(const OperationContext &context, core::TimePoint now)
 {
     const Route &route = context.route;
     const BackendServer *const primary = this->view->primary(route.service);
-    if (route.kind == RouteKind::Primary) {
-        if (primary == nullptr) {
-            return std::nullopt;
-        }
-        return ReadPlan{.server = primary, .atPrimary = true};
-    }
     ServiceState &state = this->services[route.service];
     state.readUntil = now + ProofInterest;
     state.proofAge = route.maximumAge - ProofMargin;
     state.workspace = context.workspace;
     const std::optional<session::LogPosition> proven
         = state.proofs.within(route.maximumAge - ProofMargin, core::BootClock::now());
-    std::optional<ReadPlan> fallback;
+    std::vector<Plan> found;
     for (const BackendServer *const server : this->readOrder(route)) {
         const bool atPrimary = server == primary;
         if (!atPrimary && !proven) {
@@ -146,105 +156,110 @@
         }
         const session::LogPosition minimum
             = proven ? session::laterOf(*proven, context.sessionPosition) : session::LogPosition();
-        const ReadPlan plan{.server = server, .atPrimary = atPrimary, .minimum = minimum};
-        if (!this->isPenalised(server->id, now)) {
-            return plan;
-        }
-        if (!fallback || atPrimary) {
-            fallback = plan;
-        }
+        found.push_back({.server = server, .atPrimary = atPrimary, .minimum = minimum});
+    }
+    return found;
+}
+
+std::vector<SearchCandidate> OperationRunner::candidatesOf(const std::vector<Plan> &plans, core::TimePoint now) const
+{
+    std::vector<SearchCandidate> candidates;
+    for (const Plan &plan : plans) {
+        candidates.push_back({.server = plan.server->id,
+                              .isPrimary = plan.atPrimary,
+                              .isPenalised = isUntil(this->penalisedUntil, plan.server->id, now),
+                              .isBusy = isUntil(this->busyUntil, plan.server->id, now)});
     }
-    return fallback;
+    return candidates;
+}
+
+WorkUnit
+OperationRunner::unitFor(const WorkUnit &unit, const OperationContext &context, const Plan &plan, bool readOnly) const
+{
+    WorkUnit next = unit;
+    next.server = plan.server->id;
+    next.workspace = context.workspace;
+    next.values = *context.values;
+    next.minimumPosition = plan.minimum;
+    next.urgency = urgencyOf(context.route);
+    next.statementLimit = context.route.statementTimeout;
+    next.idleLimit = context.transactionIdle;
+    if (unit.kind == UnitKind::OpenTransaction) {
+        next.kind = readOnly && !plan.atPrimary ? UnitKind::OpenReadOnly : UnitKind::OpenTransaction;
+    } else if (readOnly) {
+        next.kind = plan.atPrimary ? UnitKind::PrimaryRead : UnitKind::ReplicaRead;
+    }
+    return next;
+}
+
+net::awaitable<void> OperationRunner::pause(core::Duration time) const
+{
+    asio::steady_timer timer(this->executor, time);
+    co_await timer.async_wait(UseTuple);
 }
 
 net::awaitable<StatementOutcome> OperationRunner::run(OperationContext context, WorkUnit unit, bool readOnly)
 {
-    const bool opensTransaction = unit.kind == UnitKind::OpenTransaction;
-    const bool needsPrimary = !readOnly;
-    const core::Duration hold = std::min<core::Duration>(
-        std::chrono::duration_cast<core::Duration>(context.route.latencyObjective * HoldPart),
-        context.route.statementTimeout);
-    const auto readPatience
-        = std::chrono::duration_cast<core::Milliseconds>(context.route.latencyObjective * ReadPatiencePart);
-    core::TimePoint holdUntil = context.startedAt + hold;
-    const core::TimePoint overloadUntil = context.startedAt
-        + std::chrono::duration_cast<core::Duration>(context.route.latencyObjective * OverloadHoldPart);
+    const Route &route = context.route;
+    const core::Duration spillLimit = partOf(route.latencyObjective, SpillPart);
+    const core::Milliseconds readPatience = milliseconds(partOf(route.latencyObjective, ReadPatiencePart));
+    ServerSearch search(
+        {.holdUntil = context.startedAt + partOf(route.statementTimeout, HoldPart), .spillLimit = spillLimit});
     int lostReads = 0;
     StatementOutcome outcome;
     outcome.result = {.outcome = UnitOutcome::NotRun, .error = UnitError::QueueFull, .errorText = "no server"};
     for (int attempt = 1;; ++attempt) {
         const core::TimePoint now = core::Clock::now();
-        if (now >= holdUntil) {
+        const std::vector<Plan> found = this->plans(context, readOnly, now);
+        const SearchStep step = search.next(this->candidatesOf(found, now), now);
+        if (step.kind == SearchStep::Kind::Refuse) {
             break;
         }
-        std::optional<ReadPlan> plan;
-        if (needsPrimary) {
-            const BackendServer *const primary = this->view->primary(context.route.service);
-            plan = primary == nullptr ? std::nullopt : std::optional(ReadPlan{.server = primary, .atPrimary = true});
-        } else {
-            plan = this->planRead(context, now);
-        }
-        if (!plan) {
-            asio::steady_timer pause(this->executor, RetryPause);
-            co_await pause.async_wait(UseTuple);
+        if (step.kind == SearchStep::Kind::Wait) {
+            co_await this->pause(RetryPause);
             continue;
         }
-        WorkUnit next = unit;
-        next.server = plan->server->id;
-        next.workspace = context.workspace;
-        next.values = *context.values;
-        next.minimumPosition = plan->minimum;
-        next.priority = context.route.priority;
-        next.queueLimit = std::max(milliseconds(std::min(holdUntil, overloadUntil) - now), ShortestQueueLimit);
-        next.statementLimit = context.route.statementTimeout;
+        WorkUnit next = this->unitFor(unit, context, found[step.candidate], readOnly);
+        next.queueLimit = milliseconds(step.queueLimit);
         if (readOnly && lostReads + 1 < ReadAttempts) {
             next.statementLimit = std::min(next.statementLimit, readPatience);
         }
-        next.idleLimit = context.transactionIdle;
-        if (opensTransaction) {
-            next.kind = readOnly && !plan->atPrimary ? UnitKind::OpenReadOnly : UnitKind::OpenTransaction;
-        } else if (readOnly) {
-            next.kind = plan->atPrimary ? UnitKind::PrimaryRead : UnitKind::ReplicaRead;
-        }
         const std::string server = next.server;
         outcome.result = co_await this->router.run(std::move(next), outcome.place);
-        this->recordProof(context.route.service, outcome.result);
+        this->recordProof(route.service, outcome.result);
         this->logAttempt(context, unit, outcome.place, outcome.result, attempt);
         if (isFinal(outcome.result, !readOnly)) {
             break;
         }
-        core::Duration pauseTime = RetryPause;
+        core::Duration pauseTime = core::Duration::zero();
         switch (outcome.result.error) {
         case UnitError::Behind:
             this->penalise(server, BehindPenalty);
-            pauseTime = core::Duration::zero();
             break;
         case UnitError::QueueFull:
-        case UnitError::ServerBusy:
-            this->penalise(server, QueuePenalty);
-            holdUntil = std::min(holdUntil, overloadUntil);
+            this->busyUntil[server] = core::Clock::now() + BusyTime;
+            search.queueFull(server, step.queueLimit);
             break;
         case UnitError::NoAnswer:
             // The server is up but this answer is lost; another one may be quicker than the caller's next attempt.
-            this->penalise(server, QueuePenalty);
-            pauseTime = core::Duration::zero();
+            this->penalise(server, AnswerPenalty);
             if (++lostReads < ReadAttempts) {
-                holdUntil = std::max(holdUntil, core::Clock::now() + readPatience);
+                search.extend(core::Clock::now() + readPatience);
             }
             break;
         case UnitError::ConnectionLost:
-            pauseTime = core::Duration::zero();
             this->penalise(server, LostPenalty);
             break;
         case UnitError::Unreachable:
             this->penalise(server, LostPenalty);
+            pauseTime = RetryPause;
             break;
         default:
+            pauseTime = RetryPause;
             break;
         }
         if (pauseTime > core::Duration::zero()) {
-            asio::steady_timer pause(this->executor, pauseTime);
-            co_await pause.async_wait(UseTuple);
+            co_await this->pause(pauseTime);
         }
     }
     co_return outcome;
--- a/gateway/operationrunner.h
+++ b/gateway/operationrunner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/callerprotocol.h"
+#include "gateway/serversearch.h"
 #include "gateway/workrouter.h"
 #include "session/freshnessproofs.h"
 
@@ -54,17 +55,22 @@
         std::string workspace; ///< Of the last reader; a proof may need a new connection.
     };
 
-    struct ReadPlan
+    /// A server that may run a statement under the route's promise.
+    struct Plan
     {
         const BackendServer *server = nullptr;
         bool atPrimary = false;
         session::LogPosition minimum;
     };
 
-    std::optional<ReadPlan> planRead(const OperationContext &context, core::TimePoint now);
+    std::vector<Plan> plans(const OperationContext &context, bool readOnly, core::TimePoint now);
+    std::vector<Plan> readPlans(const OperationContext &context, core::TimePoint now);
+    std::vector<SearchCandidate> candidatesOf(const std::vector<Plan> &plans, core::TimePoint now) const;
+    pooling::WorkUnit
+    unitFor(const pooling::WorkUnit &unit, const OperationContext &context, const Plan &plan, bool readOnly) const;
+    net::awaitable<void> pause(core::Duration time) const;
     std::vector<const BackendServer *> readOrder(const Route &route) const;
     int distance(const BackendServer &server) const;
-    bool isPenalised(const std::string &server, core::TimePoint now) const;
     void penalise(const std::string &server, core::Duration time);
     void recordProof(const std::string &service, const pooling::UnitResult &result);
     net::awaitable<bool> prove(std::string service, std::string workspace, core::Milliseconds limit);
@@ -80,6 +86,7 @@
     std::shared_ptr<const GatewayView> view = std::make_shared<GatewayView>();
     std::map<std::string, ServiceState, std::less<>> services;
     std::map<std::string, core::TimePoint, std::less<>> penalisedUntil; ///< By server.
+    std::map<std::string, core::TimePoint, std::less<>> busyUntil; ///< By server.
 };
 
 }
--- a/gateway/pooledserver.cpp
+++ b/gateway/pooledserver.cpp
@@ -41,11 +41,6 @@
 constexpr std::chrono::seconds IdleConnectionLife{20};
 constexpr std::size_t LeaseIdBytes = 8;
 
-queueing::Priority queuePriority(int routePriority)
-{
-    return routePriority <= 1 ? queueing::Priority::Write : queueing::Priority::Read;
-}
-
 }
 
 class PooledServer::Slot
@@ -166,7 +161,7 @@
     const pooling::TicketId id = ++this->lastTicket;
     const auto ticket = std::make_shared<Ticket>(this->options.executor);
     const queueing::QueueTicket request{
-        .workspace = unit.workspace, .priority = queuePriority(unit.priority), .deadline = deadline};
+        .workspace = unit.workspace, .priority = unit.urgency, .deadline = deadline};
     if (this->queue.push(id, need, request, now) != queueing::PushResult::Queued) {
         ++this->counts.queueRefusals;
         co_return std::nullopt;
--- /dev/null
+++ b/gateway/serversearch.cpp
@@ -0,0 +1,70 @@
+#include "gateway/serversearch.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace endiveshore::gateway {
+
+namespace {
+
+/// A statement that comes late to its server, for example after a change of primary, may still wait this long there.
+constexpr std::chrono::milliseconds ShortestQueueLimit{60};
+
+}
+
+ServerSearch::ServerSearch(ServerSearchOptions options)
+    : options(options)
+{
+}
+
+SearchStep ServerSearch::tryAt(std::size_t candidate, core::Duration limit, core::TimePoint now) const
+{
+    const core::Duration remaining = std::max<core::Duration>(this->options.holdUntil - now, ShortestQueueLimit);
+    return {.kind = SearchStep::Kind::Try, .candidate = candidate, .queueLimit = std::min(limit, remaining)};
+}
+
+SearchStep ServerSearch::next(std::span<const SearchCandidate> candidates, core::TimePoint now) const
+{
+    if (now >= this->options.holdUntil) {
+        return {.kind = SearchStep::Kind::Refuse};
+    }
+    std::optional<std::size_t> first;
+    std::optional<std::size_t> firstUntried;
+    std::optional<std::size_t> lastResort;
+    std::size_t usable = 0;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const SearchCandidate &candidate = candidates[index];
+        if (this->full.contains(candidate.server)) {
+            continue;
+        }
+        if (candidate.isPenalised) {
+            lastResort = candidate.isPrimary ? index : lastResort;
+            continue;
+        }
+        ++usable;
+        first = first.value_or(index);
+        if (!firstUntried && !candidate.isBusy && !this->spilled.contains(candidate.server)) {
+            firstUntried = index;
+        }
+    }
+    if (firstUntried && usable > 1) {
+        return this->tryAt(*firstUntried, this->options.spillLimit, now);
+    }
+    const std::optional<std::size_t> chosen = first ? first : lastResort;
+    if (chosen) {
+        return this->tryAt(*chosen, core::Duration::max(), now);
+    }
+    return {.kind = this->full.empty() ? SearchStep::Kind::Wait : SearchStep::Kind::Refuse};
+}
+
+void ServerSearch::queueFull(std::string_view server, core::Duration queueLimit)
+{
+    (queueLimit > this->options.spillLimit ? this->full : this->spilled).emplace(server);
+}
+
+void ServerSearch::extend(core::TimePoint holdUntil)
+{
+    this->options.holdUntil = std::max(this->options.holdUntil, holdUntil);
+}
+
+}
--- a/gateway/workmessage.cpp
+++ b/gateway/workmessage.cpp
@@ -84,7 +84,7 @@
         object.emplace("v", std::move(values));
     }
     addPosition(object, "m", unit.minimumPosition);
-    object.emplace("r", unit.priority);
+    object.emplace("r", static_cast<int>(unit.urgency));
     object.emplace("q", unit.queueLimit.count());
     object.emplace("a", unit.statementLimit.count());
     object.emplace("d", unit.idleLimit.count());
@@ -94,7 +94,8 @@
 leaf::result<pooling::WorkUnit> workUnitFromJson(const json::object &object)
 {
     pooling::WorkUnit unit;
-    if (!readEnumeration(object, "k", UnitKind::Status, unit.kind)) {
+    if (!readEnumeration(object, "k", UnitKind::Status, unit.kind)
+        || !readEnumeration(object, "r", queueing::Priority::StaleRead, unit.urgency)) {
         return leaf::new_error(malformed("unit of work"));
     }
     unit.server = core::jsonString(object, "s");
@@ -118,7 +119,6 @@
         }
     }
     unit.minimumPosition = readPosition(object, "m");
-    unit.priority = static_cast<int>(core::jsonInteger(object, "r"));
     unit.queueLimit = readMilliseconds(object, "q");
     unit.statementLimit = readMilliseconds(object, "a");
     unit.idleLimit = readMilliseconds(object, "d");
--- a/pooling/admissionqueue.cpp
+++ b/pooling/admissionqueue.cpp
@@ -1,12 +1,20 @@
 #include "pooling/admissionqueue.h"
 
+#include <limits>
+
 namespace endiveshore::pooling {
 
 namespace {
 
+/// Slot time by which urgent statements of a workspace may run ahead of its share: a second of its part of the slots
+/// while eight workspaces are busy, so that a short overload is met by what can wait, whoever sent it.
+constexpr std::chrono::milliseconds UrgencyLead{300};
+
 queueing::FairQueueOptions queueOptions(unsigned slots)
 {
-    return {.schedule = {.slots = slots}};
+    // What may wait is passed as often as it takes; its longer limit and the end of the overload serve it.
+    return {.schedule = {.slots = slots, .urgencyLead = UrgencyLead},
+            .maximumOvertakes = std::numeric_limits<unsigned>::max()};
 }
 
 }
--- a/pooling/statement.h
+++ b/pooling/statement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "queueing/fairschedule.h"
 #include "session/logposition.h"
 
 #include <cstdint>
@@ -80,7 +81,7 @@
     SessionValues values;
     session::LogPosition minimumPosition; ///< Term 0: none.
     std::string lease; ///< Of the transaction, for InTransaction, Commit and Rollback.
-    int priority = 0; ///< Of the route; 0 is the highest.
+    queueing::Priority urgency = queueing::Priority::Read; ///< Class in the queues of servers.
     std::chrono::milliseconds queueLimit{}; ///< Longest wait for a connection and a slot.
     std::chrono::milliseconds statementLimit{}; ///< Longest wait for the server's answer.
     std::chrono::milliseconds idleLimit{}; ///< Of a transaction between two statements.
--- a/tests/gateway/test_messages.cpp
+++ b/tests/gateway/test_messages.cpp
@@ -33,7 +33,7 @@
                                  .values = {{"zone", "a b"}},
                                  .minimumPosition = {.term = 3, .position = 1'207},
                                  .lease = "l",
-                                 .priority = 2,
+                                 .urgency = queueing::Priority::StaleRead,
                                  .queueLimit = std::chrono::milliseconds(10),
                                  .statementLimit = std::chrono::milliseconds(20),
                                  .idleLimit = std::chrono::milliseconds(30)};
@@ -42,6 +42,7 @@
     EXPECT_EQ(read.text, unit.text);
     EXPECT_EQ(read.prepared, unit.prepared);
     EXPECT_EQ(read.values, unit.values);
+    EXPECT_EQ(read.urgency, unit.urgency);
     EXPECT_EQ(read.minimumPosition, unit.minimumPosition);
     EXPECT_EQ(read.idleLimit, unit.idleLimit);
 }
