Give connections of daemons besides the home back after a second

Ruled out: slots that are not returned, a wrong home, load (others of that database were served). Change: the idle life of connections is 20 s at the home and 1 s elsewhere.

--- a/gateway/pooledserver.cpp
+++ b/gateway/pooledserver.cpp
@@ -37,8 +37,6 @@
 constexpr std::chrono::milliseconds ConnectionRefusalHold{250};
 /// A server that has answered within this time runs, whatever happens to new connections.
 constexpr std::chrono::milliseconds AnswerLife{400};
-/// Idle connections are closed well before the server does, which would lose a write that is on its way.
-constexpr std::chrono::seconds IdleConnectionLife{20};
 constexpr std::size_t LeaseIdBytes = 8;
 
 }
@@ -74,7 +72,7 @@
 
 PooledServer::PooledServer(PooledServerOptions options)
     : options(std::move(options))
-    , book(this->options.connections)
+    , book(this->options.allowance.connections)
     , queue(this->options.server.slots)
 {
 }
@@ -104,12 +102,12 @@
     return this->leases.size();
 }
 
-void PooledServer::update(const BackendServer &server, unsigned connections)
+void PooledServer::update(const BackendServer &server, ConnectionAllowance allowance)
 {
     const bool restarted = server.startedAt != this->options.server.startedAt;
     this->options.server = server;
-    this->options.connections = connections;
-    this->book.setLimit(connections);
+    this->options.allowance = allowance;
+    this->book.setLimit(allowance.connections);
     this->queue.setSlots(server.slots);
     if (restarted) {
         this->unreachableUntil = {};
@@ -160,8 +158,7 @@
     const core::TimePoint deadline = now + unit.queueLimit;
     const pooling::TicketId id = ++this->lastTicket;
     const auto ticket = std::make_shared<Ticket>(this->options.executor);
-    const queueing::QueueTicket request{
-        .workspace = unit.workspace, .priority = unit.urgency, .deadline = deadline};
+    const queueing::QueueTicket request{.workspace = unit.workspace, .priority = unit.urgency, .deadline = deadline};
     if (this->queue.push(id, need, request, now) != queueing::PushResult::Queued) {
         ++this->counts.queueRefusals;
         co_return std::nullopt;
@@ -455,8 +452,8 @@
 
 void PooledServer::keepOrDrop(const std::shared_ptr<Connection> &connection, bool reusable)
 {
-    const bool keep
-        = reusable && !this->closed && this->book.open() <= this->options.connections && connection->link->isOpen();
+    const bool keep = reusable && !this->closed && this->book.open() <= this->options.allowance.connections
+        && connection->link->isOpen();
     if (keep) {
         this->book.release(connection->id, core::Clock::now());
         this->idle.emplace(connection->id, connection);
@@ -486,7 +483,8 @@
     }
     this->book.tick(now);
     this->giveUpSlots(now);
-    while (const std::optional<pooling::ConnectionId> old = this->book.idleSince(now - IdleConnectionLife)) {
+    while (const std::optional<pooling::ConnectionId> old
+           = this->book.idleSince(now - this->options.allowance.idleLife)) {
         this->idle.erase(*old);
         this->book.remove(*old);
     }
--- a/gateway/pooledserver.h
+++ b/gateway/pooledserver.h
@@ -15,11 +15,18 @@
 
 namespace endiveshore::gateway {
 
+/// What a daemon may keep of a server's connections.
+struct ConnectionAllowance
+{
+    unsigned connections = 1; ///< Most that this daemon opens.
+    core::Duration idleLife = std::chrono::seconds(20); ///< An idle connection is closed after this time.
+};
+
 struct PooledServerOptions
 {
     net::Executor executor;
     BackendServer server;
-    unsigned connections = 1; ///< Most connections that this daemon opens.
+    ConnectionAllowance allowance;
     ServerLinkFactory links;
     telemetry::DecisionLog *log = nullptr;
 };
@@ -44,8 +51,8 @@
     /// Runs one unit of work. Never throws for failures of the server; the result says what became of the unit.
     net::awaitable<pooling::UnitResult> run(pooling::WorkUnit unit);
 
-    /// Takes over a changed entry or number of connections.
-    void update(const BackendServer &server, unsigned connections);
+    /// Takes over a changed entry or allowance.
+    void update(const BackendServer &server, ConnectionAllowance allowance);
 
     /// Ends idle connections and transactions that rest for too long. To be called every 100 ms or so.
     void tick(core::TimePoint now);
--- a/gateway/workrouter.cpp
+++ b/gateway/workrouter.cpp
@@ -40,6 +40,10 @@
 /// Share of a server's connections that any other daemon may open.
 constexpr unsigned OtherConnectionPercent = 9;
 constexpr unsigned Percent = 100;
+/// Idle connections of a home are closed well before the server does, which would lose a write that is on its way.
+constexpr std::chrono::seconds HomeIdleLife{20};
+/// Other daemons give their connections back soon: many of them together would keep the home from opening any.
+constexpr std::chrono::seconds OtherIdleLife{1};
 
 net::PeerClientOptions peerOptions()
 {
@@ -79,14 +83,15 @@
 {
 }
 
-unsigned WorkRouter::connectionsFor(const BackendServer &server) const
+ConnectionAllowance WorkRouter::allowanceFor(const BackendServer &server) const
 {
     const auto service = this->view->configuration->services.find(server.service);
     const unsigned limit = service == this->view->configuration->services.end() ? 0 : service->second.connectionLimit;
     const auto homes = this->view->homes.find(server.id);
     const bool isHome = homes != this->view->homes.end() && !homes->second.empty()
         && homes->second.front() == this->options.deployment.daemonId;
-    return std::max(1U, limit * (isHome ? HomeConnectionPercent : OtherConnectionPercent) / Percent);
+    return {.connections = std::max(1U, limit * (isHome ? HomeConnectionPercent : OtherConnectionPercent) / Percent),
+            .idleLife = isHome ? HomeIdleLife : OtherIdleLife};
 }
 
 void WorkRouter::setView(std::shared_ptr<const GatewayView> newView)
@@ -99,7 +104,7 @@
             pool = this->byServer.erase(pool);
             continue;
         }
-        pool->second->update(*server, this->connectionsFor(*server));
+        pool->second->update(*server, this->allowanceFor(*server));
         ++pool;
     }
 }
@@ -116,7 +121,7 @@
     }
     auto pool = std::make_shared<PooledServer>(PooledServerOptions{.executor = this->options.executor,
                                                                    .server = *entry,
-                                                                   .connections = this->connectionsFor(*entry),
+                                                                   .allowance = this->allowanceFor(*entry),
                                                                    .links = this->options.links,
                                                                    .log = this->options.log});
     this->byServer.emplace(server, pool);
--- a/gateway/workrouter.h
+++ b/gateway/workrouter.h
@@ -58,7 +58,7 @@
 
 private:
     std::shared_ptr<PooledServer> poolOf(const std::string &server);
-    unsigned connectionsFor(const BackendServer &server) const;
+    ConnectionAllowance allowanceFor(const BackendServer &server) const;
     std::vector<std::string> candidates(std::string_view server, core::TimePoint now) const;
     net::awaitable<pooling::UnitResult> runRemotely(pooling::WorkUnit unit, std::string daemon);
 
--- a/tests/gateway/test_pooledserver.cpp
+++ b/tests/gateway/test_pooledserver.cpp
@@ -36,7 +36,7 @@
         this->pool = std::make_shared<PooledServer>(PooledServerOptions{
             .executor = this->context.get_executor(),
             .server = {.id = "i-1", .service = "db", .slots = slots},
-            .connections = connections,
+            .allowance = {.connections = connections, .idleLife = this->idleLife},
             .links = [shared](const net::Executor &executor) { return std::make_unique<FakeLink>(executor, shared); }});
     }
 
@@ -85,6 +85,7 @@
 
     boost::asio::io_context context;
     std::shared_ptr<FakeBackend> backend = std::make_shared<FakeBackend>();
+    core::Duration idleLife = 20s;
     std::shared_ptr<PooledServer> pool;
     std::map<std::string, UnitResult> results;
 };
@@ -222,6 +223,18 @@
     EXPECT_EQ(this->backend->mostOpen, 1U);
 }
 
+// Guards against connections that daemons besides the home keep after a partition: together they take the server's
+// connections from the home for as long as they are idle.
+TEST_F(PooledServerTest, IdleConnectionsAreGivenBackInTime)
+{
+    this->idleLife = 50ms;
+    this->makePool(4, 5);
+    EXPECT_EQ(this->run(unit(UnitKind::ReplicaRead, "READ 1a4")).outcome, UnitOutcome::Done);
+    EXPECT_EQ(this->pool->openConnections(), 1U);
+    this->runUntil([this] { return this->pool->openConnections() == 0; });
+    EXPECT_EQ(this->backend->open, 0U);
+}
+
 // Guards against an overloaded server being taken for a dead one: it drops new connections while it answers on open
 // ones. Units then moved to other daemons, which opened still more, and the primary was replaced (incident inc-0eae).
 TEST_F(PooledServerTest, ServerThatAnswersButAcceptsNoConnectionIsNotUnreachable)
