Ask the servers for the primary when the known one says that it does not lead

Ruled out: news by reports (the other half of a partition hears none). Change: LeaderSearch asks the other servers of the service for their role; the question is shared with the promotion duty (CandidateSurvey). News of a later promotion or claim outrank what was observed.

--- a/failover/primarytracker.cpp
+++ b/failover/primarytracker.cpp
@@ -74,6 +74,16 @@
     }
 }
 
+void PrimaryTracker::observed(std::string_view service, std::string_view server)
+{
+    Group &group = this->groups[std::string(service)];
+    group.promoted = std::string(server);
+    const auto report = group.servers.find(server);
+    if (report != group.servers.end()) {
+        report->second.denied = false;
+    }
+}
+
 std::string PrimaryTracker::primaryOf(std::string_view service) const
 {
     const auto group = this->groups.find(service);
--- a/failover/primarytracker.h
+++ b/failover/primarytracker.h
@@ -21,6 +21,9 @@
     /// Returns true if they are new.
     bool promoted(std::string_view service, std::string_view server, std::uint64_t fence);
 
+    /// The server has said itself that it leads. It does until news of a promotion or a later claim.
+    void observed(std::string_view service, std::string_view server);
+
     /// The server has said that it does not lead.
     void denied(std::string_view service, std::string_view server);
 
--- /dev/null
+++ b/gateway/candidatesurvey.cpp
@@ -0,0 +1,91 @@
+#include "gateway/candidatesurvey.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace endiveshore::gateway {
+
+namespace asio = boost::asio;
+using pooling::UnitKind;
+using pooling::UnitOutcome;
+using pooling::UnitResult;
+
+namespace {
+
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+/// Longest wait for a slot, and for the answer.
+constexpr std::chrono::milliseconds AskLimit{500};
+
+}
+
+struct CandidateSurvey::Round
+{
+    explicit Round(const net::Executor &executor)
+        : done(executor, core::TimePoint::max())
+    {
+    }
+
+    asio::steady_timer done;
+    std::size_t open = 0;
+    std::vector<failover::PromotionCandidate> candidates;
+};
+
+CandidateSurvey::CandidateSurvey(net::Executor executor, std::string asker, CandidateSurveySurroundings surroundings)
+    : executor(std::move(executor))
+    , asker(std::move(asker))
+    , surroundings(std::move(surroundings))
+{
+}
+
+net::awaitable<UnitResult> CandidateSurvey::ask(UnitKind kind, std::string server)
+{
+    pooling::WorkUnit unit{.kind = kind,
+                           .server = std::move(server),
+                           .workspace = this->asker,
+                           .queueLimit = AskLimit,
+                           .statementLimit = AskLimit};
+    co_return co_await this->surroundings.ask(std::move(unit));
+}
+
+net::awaitable<std::vector<failover::PromotionCandidate>> CandidateSurvey::run(std::string service,
+                                                                               std::string excluded)
+{
+    const auto round = std::make_shared<Round>(this->executor);
+    const std::shared_ptr<CandidateSurvey> self = this->shared_from_this();
+    const std::shared_ptr<const GatewayView> view = this->surroundings.view();
+    for (const auto &[id, server] : view->servers) {
+        if (server.service != service || id == excluded) {
+            continue;
+        }
+        ++round->open;
+        asio::co_spawn(
+            this->executor,
+            [self, round, server = server]() -> net::awaitable<void> { co_await self->askOne(round, server); },
+            asio::detached);
+    }
+    if (round->open > 0) {
+        co_await round->done.async_wait(UseTuple);
+    }
+    co_return round->candidates;
+}
+
+net::awaitable<void> CandidateSurvey::askOne(std::shared_ptr<Round> round, BackendServer server)
+{
+    const UnitResult result = co_await this->ask(UnitKind::Status, server.id);
+    const std::optional<ServerStatus> status = this->surroundings.readStatus(ServerReply{.rows = result.rows});
+    if (result.outcome == UnitOutcome::Done && status) {
+        round->candidates.push_back({.server = server.id,
+                                     .isPrimary = status->isPrimary,
+                                     .isLeaving = server.isLeaving,
+                                     .term = status->term,
+                                     .received = status->received});
+    }
+    if (--round->open == 0) {
+        round->done.cancel();
+    }
+}
+
+}
--- a/gateway/gatewaydaemon.cpp
+++ b/gateway/gatewaydaemon.cpp
@@ -60,7 +60,14 @@
                                  .links = this->adapter.links,
                                  .protocol = this->adapter.callerProtocol.get(),
                                  .log = &this->log,
-                                 .metrics = &this->metrics})
+                                 .metrics = &this->metrics,
+                                 .onNotPrimary =
+                                     [this](std::string service, std::string server) {
+                                         asio::post(this->context,
+                                                    [this, service = std::move(service), server = std::move(server)] {
+                                                        this->leaderSearch->denied(service, server);
+                                                    });
+                                     }})
     , peers(this->context.get_executor())
     , mirror(this->adapter.format,
              MetadataCallbacks{.onServers = [this] { this->applyServers(); },
@@ -207,9 +214,23 @@
         DaemonLeaseOptions{.daemonId = deployment.daemonId, .registration = json::serialize(registration)},
         std::move(leaseCallbacks),
         this->log);
+    const auto view = [this] { return this->view; };
+    const auto survey = std::make_shared<CandidateSurvey>(
+        executor,
+        deployment.daemonId,
+        CandidateSurveySurroundings{.ask
+                                    = [this](pooling::WorkUnit unit) { return this->traffic.ask(std::move(unit)); },
+                                    .view = view,
+                                    .readStatus = this->adapter.readStatus});
+    LeaderSearchCallbacks searchCallbacks{.view = view,
+                                          .onFound = [this](const std::string &service, const std::string &server) {
+                                              this->primaries.observed(service, server);
+                                              this->scheduleView();
+                                          }};
+    this->leaderSearch = std::make_shared<LeaderSearch>(executor, survey, std::move(searchCallbacks), this->log);
     PromotionDutySurroundings surroundings{
-        .ask = [this](pooling::WorkUnit unit) { return this->traffic.ask(std::move(unit)); },
-        .view = [this] { return this->view; },
+        .survey = survey,
+        .view = view,
         .mayAct = [this] { return this->mayOrderPromotions(); },
         .onPromoted =
             [this](const std::string &service, const std::string &server, std::uint64_t fence) {
@@ -226,8 +247,7 @@
                 if (!this->lease->holdsDuty()) {
                     this->lease->loseDuty("a higher fence was used");
                 }
-            },
-        .readStatus = this->adapter.readStatus};
+            }};
     std::shared_ptr<PromotionService> orders
         = this->adapter.openPromotions(executor, [this] { return this->adapter.deployment.promotionService; });
     this->duty = std::make_shared<PromotionDuty>(
--- a/gateway/gatewaydaemon.h
+++ b/gateway/gatewaydaemon.h
@@ -4,6 +4,7 @@
 #include "daemon/gossipservice.h"
 #include "gateway/daemonlease.h"
 #include "gateway/daemonreport.h"
+#include "gateway/leadersearch.h"
 #include "gateway/metadatamirror.h"
 #include "gateway/metadatasource.h"
 #include "gateway/promotionduty.h"
@@ -99,6 +100,7 @@
     std::shared_ptr<const confsync::EntryStore> metadataSnapshot; ///< Of the last applied revision.
     std::shared_ptr<DaemonLease> lease;
     std::shared_ptr<PromotionDuty> duty;
+    std::shared_ptr<LeaderSearch> leaderSearch;
     std::shared_ptr<daemon::GossipService> gossip;
     std::shared_ptr<net::UdpSocket> reports;
     std::shared_ptr<net::HttpServer> readiness;
--- /dev/null
+++ b/gateway/leadersearch.cpp
@@ -0,0 +1,75 @@
+#include "gateway/leadersearch.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace endiveshore::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+/// Between two rounds of questions, while no server leads.
+constexpr std::chrono::milliseconds RoundInterval{300};
+/// A promotion takes effect within a second or so; after more rounds the next denial starts another search.
+constexpr int Rounds = 10;
+
+}
+
+LeaderSearch::LeaderSearch(net::Executor executor,
+                           std::shared_ptr<CandidateSurvey> survey,
+                           LeaderSearchCallbacks callbacks,
+                           telemetry::DecisionLog &log)
+    : executor(std::move(executor))
+    , survey(std::move(survey))
+    , callbacks(std::move(callbacks))
+    , log(log)
+{
+}
+
+bool LeaderSearch::isBelieved(const std::string &service, const std::string &server) const
+{
+    const std::shared_ptr<const GatewayView> view = this->callbacks.view();
+    const BackendServer *const primary = view->primary(service);
+    return primary != nullptr && primary->id == server;
+}
+
+void LeaderSearch::denied(const std::string &service, const std::string &server)
+{
+    if (!this->isBelieved(service, server) || !this->searching.insert(service).second) {
+        return;
+    }
+    const std::shared_ptr<LeaderSearch> self = this->shared_from_this();
+    asio::co_spawn(
+        this->executor,
+        [self, service, server]() -> net::awaitable<void> {
+            co_await self->search(service, server);
+            self->searching.erase(service);
+        },
+        asio::detached);
+}
+
+net::awaitable<void> LeaderSearch::search(std::string service, std::string server)
+{
+    for (int round = 0; round < Rounds && this->isBelieved(service, server); ++round) {
+        const std::vector<failover::PromotionCandidate> candidates = co_await this->survey->run(service, server);
+        const failover::PromotionCandidate *const leading = failover::leadingCandidate(candidates);
+        if (leading != nullptr && this->isBelieved(service, server)) {
+            this->log.line("primary_found")
+                .field("service", service)
+                .field("server", leading->server)
+                .field("former", server)
+                .field("term", leading->term);
+            this->callbacks.onFound(service, leading->server);
+            co_return;
+        }
+        asio::steady_timer pause(this->executor, RoundInterval);
+        co_await pause.async_wait(UseTuple);
+    }
+}
+
+}
--- a/gateway/operationrunner.cpp
+++ b/gateway/operationrunner.cpp
@@ -80,10 +80,14 @@
 
 }
 
-OperationRunner::OperationRunner(net::Executor executor, WorkRouter &router, telemetry::DecisionLog *log)
+OperationRunner::OperationRunner(net::Executor executor,
+                                 WorkRouter &router,
+                                 telemetry::DecisionLog *log,
+                                 NotPrimaryHandler onNotPrimary)
     : executor(std::move(executor))
     , router(router)
     , log(log)
+    , onNotPrimary(std::move(onNotPrimary))
 {
 }
 
@@ -250,6 +254,12 @@
         case UnitError::ConnectionLost:
             this->penalise(server, LostPenalty);
             break;
+        case UnitError::NotPrimary:
+            if (this->onNotPrimary) {
+                this->onNotPrimary(route.service, server);
+            }
+            pauseTime = RetryPause;
+            break;
         case UnitError::Unreachable:
             this->penalise(server, LostPenalty);
             pauseTime = RetryPause;
--- a/gateway/operationrunner.h
+++ b/gateway/operationrunner.h
@@ -31,7 +31,13 @@
 class OperationRunner
 {
 public:
-    OperationRunner(net::Executor executor, WorkRouter &router, telemetry::DecisionLog *log);
+    /// Called when the server taken for the primary of a service says that it does not lead.
+    using NotPrimaryHandler = std::function<void(std::string service, std::string server)>;
+
+    OperationRunner(net::Executor executor,
+                    WorkRouter &router,
+                    telemetry::DecisionLog *log,
+                    NotPrimaryHandler onNotPrimary = {});
 
     void setView(std::shared_ptr<const GatewayView> view);
 
@@ -83,6 +89,7 @@
     net::Executor executor;
     WorkRouter &router;
     telemetry::DecisionLog *log;
+    NotPrimaryHandler onNotPrimary;
     std::shared_ptr<const GatewayView> view = std::make_shared<GatewayView>();
     std::map<std::string, ServiceState, std::less<>> services;
     std::map<std::string, core::TimePoint, std::less<>> penalisedUntil; ///< By server.
--- a/gateway/promotionduty.cpp
+++ b/gateway/promotionduty.cpp
@@ -23,7 +23,6 @@
 constexpr std::chrono::milliseconds ProbeInterval{250};
 /// After a failed probe the next one follows sooner, since callers wait.
 constexpr std::chrono::milliseconds SuspectInterval{60};
-constexpr std::chrono::milliseconds ProbeLimit{500};
 constexpr std::chrono::milliseconds OrderTimeout{800};
 /// An unanswered order is repeated with the same fence this many times.
 constexpr int OrderAttempts = 3;
@@ -103,16 +102,6 @@
     }
 }
 
-net::awaitable<UnitResult> PromotionDuty::ask(UnitKind kind, std::string server)
-{
-    pooling::WorkUnit unit{.kind = kind,
-                           .server = std::move(server),
-                           .workspace = this->daemonId,
-                           .queueLimit = ProbeLimit,
-                           .statementLimit = ProbeLimit};
-    co_return co_await this->surroundings.ask(std::move(unit));
-}
-
 net::awaitable<void> PromotionDuty::watchService(std::string service, std::uint64_t term)
 {
     const std::shared_ptr<PromotionDuty> self = this->shared_from_this();
@@ -142,7 +131,7 @@
             co_await this->pause(ProbeInterval);
             continue;
         }
-        const UnitResult result = co_await this->ask(UnitKind::Prove, watchedServer);
+        const UnitResult result = co_await this->surroundings.survey->ask(UnitKind::Prove, watchedServer);
         const bool answered = isAnswer(result);
         if (result.error == UnitError::NotPrimary) {
             this->surroundings.onDenied(service, watchedServer);
@@ -162,54 +151,11 @@
     }
 }
 
-net::awaitable<std::vector<failover::PromotionCandidate>> PromotionDuty::askCandidates(std::string service,
-                                                                                       std::string former)
-{
-    struct Round
-    {
-        explicit Round(const net::Executor &executor)
-            : done(executor, core::TimePoint::max())
-        {
-        }
-        asio::steady_timer done;
-        std::size_t open = 0;
-        std::vector<failover::PromotionCandidate> candidates;
-    };
-    const auto round = std::make_shared<Round>(this->executor);
-    const std::shared_ptr<PromotionDuty> self = this->shared_from_this();
-    const std::shared_ptr<const GatewayView> view = this->surroundings.view();
-    for (const auto &[id, server] : view->servers) {
-        if (server.service != service || id == former) {
-            continue;
-        }
-        ++round->open;
-        const auto askOne = [self, round, server = server]() -> net::awaitable<void> {
-            const UnitResult result = co_await self->ask(UnitKind::Status, server.id);
-            ServerReply reply{.rows = result.rows};
-            const std::optional<ServerStatus> status = self->surroundings.readStatus(reply);
-            if (result.outcome == UnitOutcome::Done && status) {
-                round->candidates.push_back({.server = server.id,
-                                             .isPrimary = status->isPrimary,
-                                             .isLeaving = server.isLeaving,
-                                             .term = status->term,
-                                             .received = status->received});
-            }
-            if (--round->open == 0) {
-                round->done.cancel();
-            }
-        };
-        asio::co_spawn(this->executor, askOne, asio::detached);
-    }
-    if (round->open > 0) {
-        co_await round->done.async_wait(UseTuple);
-    }
-    co_return round->candidates;
-}
-
 net::awaitable<void>
 PromotionDuty::replacePrimary(std::string service, std::string former, std::string reason, std::uint64_t term)
 {
-    const std::vector<failover::PromotionCandidate> candidates = co_await this->askCandidates(service, former);
+    const std::vector<failover::PromotionCandidate> candidates
+        = co_await this->surroundings.survey->run(service, former);
     if (!this->isCurrent(term) || !this->surroundings.mayAct()) {
         co_return;
     }
@@ -260,7 +206,7 @@
     }
     const core::TimePoint giveUp = core::Clock::now() + PromotionWait;
     while (core::Clock::now() < giveUp && this->isCurrent(term)) {
-        const UnitResult result = co_await this->ask(UnitKind::Prove, server);
+        const UnitResult result = co_await this->surroundings.survey->ask(UnitKind::Prove, server);
         if (result.outcome == UnitOutcome::Done) {
             this->surroundings.onPromoted(service, server, fence);
             co_return;
--- a/gateway/promotionduty.h
+++ b/gateway/promotionduty.h
@@ -2,9 +2,9 @@
 
 #include "failover/primarytracker.h"
 #include "failover/promotionchoice.h"
+#include "gateway/candidatesurvey.h"
 #include "gateway/gatewayview.h"
 #include "gateway/metadatastore.h"
-#include "gateway/serverlink.h"
 #include "telemetry/decisionlog.h"
 
 #include <functional>
@@ -17,8 +17,8 @@
 /// What the holder of the promotion duty needs from its surroundings. All functions are called on the control thread.
 struct PromotionDutySurroundings
 {
-    /// Asks a server through several daemons; see WorkRouter::ask().
-    std::function<net::awaitable<pooling::UnitResult>(pooling::WorkUnit unit)> ask;
+    /// Asks servers, each through several daemons; see WorkRouter::ask().
+    std::shared_ptr<CandidateSurvey> survey;
     std::function<std::shared_ptr<const GatewayView>()> view;
     /// Whether orders may be given now.
     std::function<bool()> mayAct;
@@ -28,7 +28,6 @@
     std::function<void(std::string service, std::string server)> onDenied;
     /// Another holder has used a higher fence.
     std::function<void()> onFenced;
-    StatusReader readStatus;
 };
 
 /// Watches the primaries of all services while this daemon holds the duty, and orders promotions. Runs on the control
@@ -54,8 +53,6 @@
     net::awaitable<void> watchServices(std::uint64_t term);
     net::awaitable<void>
     replacePrimary(std::string service, std::string former, std::string reason, std::uint64_t term);
-    net::awaitable<std::vector<failover::PromotionCandidate>> askCandidates(std::string service, std::string former);
-    net::awaitable<pooling::UnitResult> ask(pooling::UnitKind kind, std::string server);
     net::awaitable<void> pause(core::Duration time);
     bool isCurrent(std::uint64_t term) const;
 
--- a/gateway/trafficcore.cpp
+++ b/gateway/trafficcore.cpp
@@ -33,7 +33,7 @@
     : options(std::move(options))
     , guard(asio::make_work_guard(this->context))
     , router(routerOptions(this->options, this->context.get_executor()))
-    , runner(this->context.get_executor(), this->router, this->options.log)
+    , runner(this->context.get_executor(), this->router, this->options.log, this->options.onNotPrimary)
     , rates(this->context.get_executor(), this->options.deployment.daemonId, this->router.peerClient())
     , sessionContext(std::make_shared<SessionContext>())
 {
--- a/gateway/trafficcore.h
+++ b/gateway/trafficcore.h
@@ -18,6 +18,9 @@
     const CallerProtocol *protocol = nullptr;
     telemetry::DecisionLog *log = nullptr;
     telemetry::Metrics *metrics = nullptr;
+    /// A server that this daemon takes for the primary of a service has said that it does not lead. Called on the
+    /// traffic thread.
+    std::function<void(std::string service, std::string server)> onNotPrimary;
 };
 
 /// Path on which daemons give each other what they have read of the metadata store.
--- a/tests/failover/test_promotionchoice.cpp
+++ b/tests/failover/test_promotionchoice.cpp
@@ -104,6 +104,25 @@
     EXPECT_EQ(tracker.primaryOf("db"), "b");
 }
 
+// Guards against a daemon without news that goes on with a server that lost the lead, and against an observation that
+// outlasts later news.
+TEST(PrimaryTracker, ObservedLeaderHoldsUntilLaterNews)
+{
+    PrimaryTracker tracker;
+    tracker.reportRole("db", "a", true, 10);
+    tracker.reportRole("db", "b", false, 11);
+    tracker.reportRole("db", "c", false, 12);
+    tracker.observed("db", "b");
+    EXPECT_EQ(tracker.primaryOf("db"), "b");
+    EXPECT_TRUE(tracker.promotions().empty());
+    tracker.promoted("db", "c", 100);
+    EXPECT_EQ(tracker.primaryOf("db"), "c");
+    tracker.observed("db", "b");
+    tracker.reportRole("db", "a", false, 20);
+    tracker.reportRole("db", "a", true, 21);
+    EXPECT_EQ(tracker.primaryOf("db"), "a");
+}
+
 // Guards against a daemon that missed the news of a promotion and keeps to an older one.
 TEST(PrimaryTracker, LaterClaimSupersedesAnOlderPromotion)
 {
--- a/tests/gateway/test_promotionduty.cpp
+++ b/tests/gateway/test_promotionduty.cpp
@@ -49,7 +49,13 @@
         view.primaries.emplace("db", "a");
         this->view = std::make_shared<const GatewayView>(view);
         PromotionDutySurroundings surroundings{
-            .ask = [this](pooling::WorkUnit unit) { return this->ask(std::move(unit)); },
+            .survey = std::make_shared<CandidateSurvey>(
+                this->context.get_executor(),
+                "daemon-1",
+                CandidateSurveySurroundings{.ask
+                                            = [this](pooling::WorkUnit unit) { return this->ask(std::move(unit)); },
+                                            .view = [this] { return this->view; },
+                                            .readStatus = platform::readStatus}),
             .view = [this] { return this->view; },
             .mayAct = [this] { return this->mayAct; },
             .onPromoted =
@@ -65,8 +71,7 @@
                     // The daemon gives the duty up when its lease has ended as well.
                     ++this->fenced;
                     this->duty->stop();
-                },
-            .readStatus = platform::readStatus};
+                }};
         this->duty = std::make_shared<PromotionDuty>(
             this->context.get_executor(), "daemon-1", this->orders, std::move(surroundings), this->log);
     }
