Join a hanging question to a primary by a second one, and pass news of promotions on at once

Cause: of a dark primary the second question was asked only after the first had ended, so the order came 1.3 to 1.4 s after the crash; daemons of other data centres heard of the promotion up to 270 ms later than those of the holder's. Ruled out: the promotion itself (600 and 1,000 ms, the platform's), one question alone (may meet a connection that was reset). Change: a question without an answer after 250 ms is joined by a second one on another connection, and both must fail; a delegate that hears of a promotion reports it at once. New test of the overlapping questions.

--- a/gateway/gatewaydaemon.cpp
+++ b/gateway/gatewaydaemon.cpp
@@ -390,13 +390,14 @@
     this->publishView();
 }
 
-void GatewayDaemon::applyPromotion(const std::string &service, const std::string &server, std::uint64_t fence)
+bool GatewayDaemon::applyPromotion(const std::string &service, const std::string &server, std::uint64_t fence)
 {
     if (!this->primaries.promoted(service, server, fence)) {
-        return;
+        return false;
     }
     this->log.line("primary_changed").field("service", service).field("server", server).field("fence", fence);
     this->publishView();
+    return true;
 }
 
 void GatewayDaemon::scheduleView()
--- a/gateway/gatewaydaemon.h
+++ b/gateway/gatewaydaemon.h
@@ -59,6 +59,7 @@
     void receiveReport(std::string_view payload);
     void applyLeaving(const DaemonReport &report);
     void sendReport();
+    void sendToDataCentres();
     void sendTo(const std::vector<const PeerDaemon *> &receivers, const DaemonReport &report);
     void relayReport(const DaemonReport &report);
     DaemonReport ownReport() const;
@@ -69,7 +70,8 @@
     void applyMetadata(const confsync::EntryStore &entries);
     void applyOwnEntry(const OwnEntry &entry);
     void applyServers();
-    void applyPromotion(const std::string &service, const std::string &server, std::uint64_t fence);
+    /// Returns true if it was news.
+    bool applyPromotion(const std::string &service, const std::string &server, std::uint64_t fence);
     void scheduleView();
     void publishView();
     void reloadSettings();
--- a/gateway/gatewayreports.cpp
+++ b/gateway/gatewayreports.cpp
@@ -180,8 +180,13 @@
 
 void GatewayDaemon::sendReport()
 {
-    const Deployment &deployment = this->adapter.deployment;
     this->sendTo(this->colleagues(), this->ownReport());
+    this->sendToDataCentres();
+}
+
+void GatewayDaemon::sendToDataCentres()
+{
+    const Deployment &deployment = this->adapter.deployment;
     if (this->delegateOf(deployment.dataCentre) == deployment.daemonId) {
         this->sendTo(this->otherDelegates(), this->dataCentreReport());
     }
@@ -220,8 +225,13 @@
     this->shares.report(reporter, report.demand, report.daemons, now);
     this->storeAges[reporter] = report.storeAge;
     this->reportedAt[reporter] = now;
+    bool hasNews = false;
     for (const auto &[service, promotion] : report.promotions) {
-        this->applyPromotion(service, promotion.server, promotion.fence);
+        hasNews = this->applyPromotion(service, promotion.server, promotion.fence) || hasNews;
+    }
+    if (hasNews && report.dataCentre.empty()) {
+        // Callers everywhere wait for the new primary; the next report of this data centre would be late.
+        this->sendToDataCentres();
     }
     this->metadata->noticeRevision(report.daemon, report.metadataRevision);
 }
--- a/gateway/promotionduty.cpp
+++ b/gateway/promotionduty.cpp
@@ -23,6 +23,8 @@
 constexpr std::chrono::milliseconds ProbeInterval{250};
 /// After a failed probe the next one follows sooner, since callers wait.
 constexpr std::chrono::milliseconds SuspectInterval{60};
+/// A probe that has no answer after this time is joined by a second one.
+constexpr std::chrono::milliseconds ProbeOverlap{250};
 constexpr std::chrono::milliseconds OrderTimeout{800};
 /// An unanswered order is repeated with the same fence this many times.
 constexpr int OrderAttempts = 3;
@@ -102,6 +104,59 @@
     }
 }
 
+struct PromotionDuty::Probe
+{
+    explicit Probe(const net::Executor &executor)
+        : changed(executor)
+    {
+    }
+
+    asio::steady_timer changed; ///< Cancelled when a question has ended.
+    unsigned open = 0; ///< Questions without a result.
+    bool isAnswered = false;
+    bool isDenied = false; ///< The server does not lead.
+    std::vector<std::string> failures; ///< One reason for each question that failed.
+};
+
+net::awaitable<void> PromotionDuty::askForProof(std::shared_ptr<Probe> probe, std::string server)
+{
+    const UnitResult result = co_await this->surroundings.survey->ask(UnitKind::Prove, std::move(server));
+    --probe->open;
+    if (isAnswer(result)) {
+        probe->isAnswered = true;
+        probe->isDenied = probe->isDenied || result.error == UnitError::NotPrimary;
+    } else {
+        probe->failures.push_back(result.errorText);
+    }
+    probe->changed.cancel();
+}
+
+net::awaitable<std::shared_ptr<const PromotionDuty::Probe>> PromotionDuty::probe(std::string server)
+{
+    const auto probe = std::make_shared<Probe>(this->executor);
+    const std::shared_ptr<PromotionDuty> self = this->shared_from_this();
+    const auto ask = [self, probe, server]() -> net::awaitable<void> { co_await self->askForProof(probe, server); };
+    probe->changed.expires_after(ProbeOverlap);
+    probe->open = 1;
+    asio::co_spawn(this->executor, ask, asio::detached);
+    if (probe->open > 0) {
+        co_await probe->changed.async_wait(UseTuple);
+    }
+    if (!probe->isAnswered) {
+        if (!probe->failures.empty()) {
+            co_await this->pause(SuspectInterval);
+        }
+        // The second question takes another connection, and does not wait for the end of a first one that hangs.
+        probe->changed.expires_at(core::TimePoint::max());
+        ++probe->open;
+        asio::co_spawn(this->executor, ask, asio::detached);
+        while (!probe->isAnswered && probe->open > 0) {
+            co_await probe->changed.async_wait(UseTuple);
+        }
+    }
+    co_return probe;
+}
+
 net::awaitable<void> PromotionDuty::watchService(std::string service, std::uint64_t term)
 {
     const std::shared_ptr<PromotionDuty> self = this->shared_from_this();
@@ -131,23 +186,25 @@
             co_await this->pause(ProbeInterval);
             continue;
         }
-        const UnitResult result = co_await this->surroundings.survey->ask(UnitKind::Prove, watchedServer);
-        const bool answered = isAnswer(result);
-        if (result.error == UnitError::NotPrimary) {
+        const std::shared_ptr<const Probe> probe = co_await this->probe(watchedServer);
+        if (probe->isDenied) {
             this->surroundings.onDenied(service, watchedServer);
         }
-        suspicion.record(answered, core::Clock::now());
-        if (!answered) {
+        for (const std::string &reason : probe->failures) {
+            suspicion.record(false, core::Clock::now());
             this->log.line("primary_suspected", telemetry::LogLevel::Warning)
                 .field("service", service)
                 .field("server", watchedServer)
-                .field("reason", result.errorText);
+                .field("reason", reason);
+        }
+        if (probe->isAnswered) {
+            suspicion.reset();
         }
         if (suspicion.isDead() && this->isCurrent(term) && this->surroundings.mayAct()) {
             co_await this->replacePrimary(service, watchedServer, "no answer", term);
             suspicion.reset();
         }
-        co_await this->pause(answered ? ProbeInterval : SuspectInterval);
+        co_await this->pause(probe->isAnswered ? ProbeInterval : SuspectInterval);
     }
 }
 
--- a/gateway/promotionduty.h
+++ b/gateway/promotionduty.h
@@ -53,6 +53,10 @@
     net::awaitable<void> watchServices(std::uint64_t term);
     net::awaitable<void>
     replacePrimary(std::string service, std::string former, std::string reason, std::uint64_t term);
+    struct Probe;
+    /// Asks @p server for a proof that it leads: once, and a second time if the first question fails or hangs.
+    net::awaitable<std::shared_ptr<const Probe>> probe(std::string server);
+    net::awaitable<void> askForProof(std::shared_ptr<Probe> probe, std::string server);
     net::awaitable<void> pause(core::Duration time);
     bool isCurrent(std::uint64_t term) const;
 
--- a/tests/gateway/test_promotionduty.cpp
+++ b/tests/gateway/test_promotionduty.cpp
@@ -3,6 +3,8 @@
 #include "platform/lineformat.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <gtest/gtest.h>
 
@@ -82,6 +84,14 @@
             co_return UnitResult{.outcome = UnitOutcome::Done, .rows = {this->statuses[unit.server]}};
         }
         const UnitError error = unit.server == "a" ? this->primaryError : UnitError::None;
+        if (unit.server == "a" && this->primaryHangs) {
+            ++this->openQuestions;
+            // The questions fail only once two of them are open.
+            while (this->openQuestions < 2 && this->primaryHangs) {
+                boost::asio::steady_timer pause(this->context, 5ms);
+                co_await pause.async_wait(boost::asio::use_awaitable);
+            }
+        }
         co_return UnitResult{.outcome = error == UnitError::None ? UnitOutcome::Done : UnitOutcome::NotRun,
                              .error = error};
     }
@@ -108,6 +118,8 @@
     std::shared_ptr<PromotionDuty> duty;
     std::map<std::string, std::string> statuses{{"b", "replica 3 3.90 0 5 0 1"}, {"c", "replica 3 3.97 0 5 0 1"}};
     UnitError primaryError = UnitError::None;
+    bool primaryHangs = false;
+    int openQuestions = 0;
     std::string promoted;
     bool mayAct = true;
     int fenced = 0;
@@ -127,6 +139,16 @@
     EXPECT_EQ(this->promoted, "c");
 }
 
+// Guards against a change of primary that waits for each hanging question to end before it asks again.
+TEST_F(PromotionDutyTest, HangingQuestionIsJoinedByASecondOne)
+{
+    this->primaryError = UnitError::ConnectionLost;
+    this->primaryHangs = true;
+    this->duty->start(41);
+    this->runUntil([this] { return !this->orders->orders.empty(); });
+    EXPECT_EQ(this->openQuestions, 2);
+}
+
 // Guards against a change of primary because the primary is busy.
 TEST_F(PromotionDutyTest, BusyPrimaryIsNotReplaced)
 {
