--- a/gateway/pooledserver.cpp
+++ b/gateway/pooledserver.cpp
@@ -23,13 +23,6 @@
 
 /// Opening takes one or two round trips and the server's handshake of up to 30 ms, behind its queue.
 constexpr std::chrono::milliseconds OpenTimeout{700};
-/// Units beyond the server's slots that are sent, so that a slot never waits for a round trip.
-constexpr unsigned SendAhead = 1;
-/// A statement that takes longer than this has probably run and lost its answer: its slot is given to another one. The
-/// server queues what comes too early, or says that it is busy.
-constexpr std::chrono::milliseconds SlotPatience{350};
-/// Units that must have finished after the start of one that counts as lost, per slot.
-constexpr unsigned OvertakenRounds = 3;
 /// After a failure to connect, units are refused for this long instead of waiting for another attempt each.
 constexpr std::chrono::milliseconds UnreachableHold{150};
 /// After a refusal by the server's connection limit only open connections are used for this long. A server drops the
@@ -74,6 +67,7 @@
     : options(std::move(options))
     , book(this->options.allowance.connections)
     , queue(this->options.server.slots)
+    , slots(this->options.server.slots)
 {
 }
 
@@ -109,6 +103,7 @@
     this->options.allowance = allowance;
     this->book.setLimit(allowance.connections);
     this->queue.setSlots(server.slots);
+    this->slots.setSlots(server.slots);
     if (restarted) {
         this->unreachableUntil = {};
         for (const auto &[id, connection] : std::exchange(this->idle, {})) {
@@ -180,8 +175,9 @@
 void PooledServer::dispatch()
 {
     const core::TimePoint now = core::Clock::now();
+    this->slots.tick(now);
     while (true) {
-        const pooling::FreeResources free{.slot = this->slotsUsed < this->options.server.slots + SendAhead,
+        const pooling::FreeResources free{.slot = this->slots.hasFree(),
                                           .connection = this->book.hasFree(),
                                           .transaction = this->book.hasFreeForTransaction()};
         const std::optional<pooling::AdmissionQueue::Admitted> admitted = this->queue.next(free, now);
@@ -193,8 +189,7 @@
             this->queue.complete(*admitted, queueing::Cost::zero());
             continue;
         }
-        ++this->slotsUsed;
-        this->usedSlots.emplace(admitted->ticket, UsedSlot{.since = now, .finishedBefore = this->finishedUnits});
+        this->slots.take(admitted->ticket, now);
         ticket->second->admitted = admitted;
         ticket->second->timer.cancel();
         this->tickets.erase(ticket);
@@ -207,32 +202,11 @@
 
 void PooledServer::finishSlot(const pooling::AdmissionQueue::Admitted &unit)
 {
-    core::Duration used{};
-    const auto slot = this->usedSlots.find(unit.ticket);
-    if (slot != this->usedSlots.end()) {
-        used = core::Clock::now() - slot->second.since;
-        this->slotsUsed -= slot->second.counted ? 1 : 0;
-        this->usedSlots.erase(slot);
-    }
-    ++this->finishedUnits;
-    this->queue.complete(unit,
-                         std::chrono::duration_cast<queueing::Cost>(std::min<core::Duration>(used, SlotPatience)));
+    const core::Duration used = this->slots.release(unit.ticket, core::Clock::now());
+    this->queue.complete(unit, std::chrono::duration_cast<queueing::Cost>(used));
     this->dispatch();
 }
 
-void PooledServer::giveUpSlots(core::TimePoint now)
-{
-    // A server that is merely slow answers in order; only one that has gone on to later units has finished this one.
-    const std::uint64_t overtaken = static_cast<std::uint64_t>(OvertakenRounds) * this->options.server.slots;
-    for (auto &[ticket, slot] : this->usedSlots) {
-        const bool isOvertaken = this->finishedUnits >= slot.finishedBefore + overtaken;
-        if (slot.counted && isOvertaken && now >= slot.since + SlotPatience) {
-            slot.counted = false;
-            --this->slotsUsed;
-        }
-    }
-}
-
 net::awaitable<pooling::UnitResult>
 PooledServer::obtainConnection(std::string workspace, bool transaction, std::shared_ptr<Connection> &out)
 {
@@ -482,7 +456,6 @@
         lease = this->leases.erase(lease);
     }
     this->book.tick(now);
-    this->giveUpSlots(now);
     while (const std::optional<pooling::ConnectionId> old
            = this->book.idleSince(now - this->options.allowance.idleLife)) {
         this->idle.erase(*old);
--- a/gateway/pooledserver.h
+++ b/gateway/pooledserver.h
@@ -5,6 +5,7 @@
 #include "gateway/serverlink.h"
 #include "pooling/admissionqueue.h"
 #include "pooling/connectionbook.h"
+#include "pooling/slotbook.h"
 #include "telemetry/decisionlog.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -96,13 +97,6 @@
     /// A slot in use; returned when it goes out of scope.
     class Slot;
 
-    struct UsedSlot
-    {
-        core::TimePoint since;
-        std::uint64_t finishedBefore = 0; ///< Units that had finished when this one started.
-        bool counted = true; ///< False once the slot is no longer expected to be in use at the server.
-    };
-
     using Unit = pooling::WorkUnit;
     using Result = pooling::UnitResult;
 
@@ -121,7 +115,6 @@
     void keepOrDrop(const std::shared_ptr<Connection> &connection, bool reusable);
     void dispatch();
     void finishSlot(const pooling::AdmissionQueue::Admitted &unit);
-    void giveUpSlots(core::TimePoint now);
     void noteAnswer();
     void recordProof(session::LogPosition position, core::BootTime takenAt);
     void attachProof(Result &result) const;
@@ -129,15 +122,13 @@
     PooledServerOptions options;
     pooling::ConnectionBook book;
     pooling::AdmissionQueue queue;
+    pooling::SlotBook slots;
     std::map<pooling::TicketId, std::shared_ptr<Ticket>> tickets;
     std::map<pooling::ConnectionId, std::shared_ptr<Connection>> idle;
     std::map<std::string, Lease, std::less<>> leases;
     std::optional<std::pair<session::LogPosition, core::BootTime>> latestProof;
     pooling::TicketId lastTicket = 0;
     std::uint64_t lastPrepared = 0;
-    std::map<pooling::TicketId, UsedSlot> usedSlots; ///< By ticket.
-    std::uint64_t finishedUnits = 0;
-    unsigned slotsUsed = 0; ///< Counted ones.
     std::optional<core::TimePoint> answeredAt;
     core::TimePoint unreachableUntil;
     PooledServerCounters counts;
--- /dev/null
+++ b/tests/pooling/test_slotbook.cpp
@@ -0,0 +1,152 @@
+#include "pooling/slotbook.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <queue>
+#include <random>
+#include <vector>
+
+namespace endiveshore::pooling {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr core::TimePoint Start = core::TimePoint(1'000s);
+constexpr unsigned Slots = 5;
+
+/// One server of `Slots` slots behind a SlotBook, with more work than it can do. Some answers are lost.
+class LossyServer
+{
+public:
+    explicit LossyServer(double lostPart)
+        : lostPart(lostPart)
+    {
+    }
+
+    /// Statements that the server runs in @p time.
+    int run(core::Milliseconds time)
+    {
+        for (core::Milliseconds passed{0}; passed < time; passed += 1ms) {
+            this->now = Start + passed;
+            this->finish();
+            this->book.tick(this->now);
+            while (this->book.hasFree()) {
+                const TicketId unit = ++this->lastUnit;
+                this->book.take(unit, this->now);
+                this->waiting.push(unit);
+            }
+            while (this->busy < Slots && !this->waiting.empty()) {
+                this->startNext();
+            }
+            this->mostWaiting = std::max(this->mostWaiting, this->waiting.size());
+        }
+        return this->ran;
+    }
+
+    std::size_t mostWaiting = 0; ///< Units that the server had to queue.
+
+private:
+    static constexpr core::Milliseconds Work{33};
+    /// Time after which the caller's side gives up an answer.
+    static constexpr core::Milliseconds AnswerLimit{600};
+
+    struct End
+    {
+        core::TimePoint at;
+        TicketId unit = 0;
+        bool freesServer = false;
+        bool releases = false;
+
+        bool operator>(const End &other) const
+        {
+            return this->at > other.at;
+        }
+    };
+
+    void startNext()
+    {
+        const TicketId unit = this->waiting.front();
+        this->waiting.pop();
+        ++this->busy;
+        const bool lost = std::uniform_real_distribution<double>(0, 1)(this->random) < this->lostPart;
+        this->ends.push({.at = this->now + Work, .unit = unit, .freesServer = true, .releases = !lost});
+        if (lost) {
+            this->ends.push({.at = this->now + AnswerLimit, .unit = unit, .releases = true});
+        }
+    }
+
+    void finish()
+    {
+        while (!this->ends.empty() && this->ends.top().at <= this->now) {
+            const End end = this->ends.top();
+            this->ends.pop();
+            this->busy -= end.freesServer ? 1 : 0;
+            this->ran += end.freesServer ? 1 : 0;
+            if (end.releases) {
+                this->book.release(end.unit, this->now);
+            }
+        }
+    }
+
+    double lostPart;
+    SlotBook book{Slots};
+    std::mt19937_64 random{7};
+    core::TimePoint now = Start;
+    std::queue<TicketId> waiting;
+    std::priority_queue<End, std::vector<End>, std::greater<>> ends;
+    unsigned busy = 0;
+    int ran = 0;
+    TicketId lastUnit = 0;
+};
+
+}
+
+// Load: a server that always has work and loses a fifth of its answers. Guards against slots that stand empty because
+// lost answers keep them: the server is to do four fifths of what it could.
+TEST(SlotBook, LostAnswersDoNotKeepTheSlots)
+{
+    constexpr core::Milliseconds Time{10'000};
+    const int possible = static_cast<int>(Slots * Time.count() / 33);
+    LossyServer server(0.2);
+    EXPECT_GE(server.run(Time), possible * 4 / 5);
+}
+
+// Guards against units that are sent to a server beyond its slots because earlier ones were taken for lost.
+TEST(SlotBook, ServerThatLosesNothingIsNotOverrun)
+{
+    LossyServer server(0);
+    server.run(10'000ms);
+    EXPECT_LE(server.mostWaiting, 1U);
+}
+
+// Guards against more and more units for a server that answers nothing any more.
+TEST(SlotBook, SilentServerGetsNoFurtherUnits)
+{
+    LossyServer server(1);
+    server.run(500ms);
+    EXPECT_LE(server.mostWaiting, 1U);
+    SlotBook book(Slots);
+    for (TicketId unit = 1; book.hasFree(); ++unit) {
+        book.take(unit, Start);
+    }
+    book.tick(Start + 10s);
+    EXPECT_FALSE(book.hasFree());
+}
+
+// Guards against slots that are counted twice or for ever.
+TEST(SlotBook, SlotsComeBackOnce)
+{
+    SlotBook book(2);
+    book.take(1, Start);
+    book.take(2, Start);
+    EXPECT_EQ(book.inUse(), 2U);
+    EXPECT_EQ(book.release(1, Start + 20ms), core::Duration(20ms));
+    EXPECT_EQ(book.release(1, Start + 30ms), core::Duration::zero());
+    EXPECT_EQ(book.inUse(), 1U);
+    book.setSlots(0);
+    EXPECT_FALSE(book.hasFree());
+}
+
+}
