Keep acknowledged commits through promotions of services with synchronous replicas, and act strictly without checked fences

Where the platform checks no fences, an order could arrive after another daemon's election. A planned change took the most advanced replica at once, also while the replicas lagged. Change: with synchronous replicas they stop receiving first (PAUSE), enough of them must answer, the most advanced is taken also if it is leaving, and they resume if nothing comes of it; a new holder fences the former one with an order for the present primary and ends its pauses. Without checked fences orders need a second of the duty's lease. A leaving primary is replaced once a replica has what it had 100 ms before, or after 3 s.

--- a/failover/promotionchoice.cpp
+++ b/failover/promotionchoice.cpp
@@ -1,28 +1,35 @@
 #include "failover/promotionchoice.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace endiveshore::failover {
 
 namespace {
 
-auto promotionRank(const PromotionCandidate &candidate)
+auto advanceRank(const PromotionCandidate &candidate)
 {
     return std::make_tuple(
-        !candidate.isLeaving, candidate.received.term, candidate.received.position, std::string_view(candidate.server));
+        candidate.received.term, candidate.received.position, !candidate.isLeaving, std::string_view(candidate.server));
+}
+
+auto promotionRank(const PromotionCandidate &candidate)
+{
+    return std::make_pair(!candidate.isLeaving, advanceRank(candidate));
 }
 
 }
 
 const PromotionCandidate *choosePromotion(std::span<const PromotionCandidate> candidates)
 {
-    const PromotionCandidate *best = nullptr;
-    for (const PromotionCandidate &candidate : candidates) {
-        if (best == nullptr || promotionRank(*best) < promotionRank(candidate)) {
-            best = &candidate;
-        }
-    }
-    return best;
+    const auto best = std::ranges::max_element(candidates, {}, promotionRank);
+    return best == candidates.end() ? nullptr : &*best;
+}
+
+const PromotionCandidate *mostAdvanced(std::span<const PromotionCandidate> candidates)
+{
+    const auto best = std::ranges::max_element(candidates, {}, advanceRank);
+    return best == candidates.end() ? nullptr : &*best;
 }
 
 const PromotionCandidate *leadingCandidate(std::span<const PromotionCandidate> candidates)
--- a/failover/promotionchoice.h
+++ b/failover/promotionchoice.h
@@ -24,6 +24,10 @@
 /// servers come last. Nothing without candidates.
 const PromotionCandidate *choosePromotion(std::span<const PromotionCandidate> candidates);
 
+/// The candidate with the newest term and the last position received, also if it is leaving. Nothing without
+/// candidates.
+const PromotionCandidate *mostAdvanced(std::span<const PromotionCandidate> candidates);
+
 /// The candidate that leads, if one says so; with several, that of the newest term.
 const PromotionCandidate *leadingCandidate(std::span<const PromotionCandidate> candidates);
 
--- a/gateway/candidatesurvey.cpp
+++ b/gateway/candidatesurvey.cpp
@@ -40,18 +40,38 @@
 {
 }
 
-net::awaitable<UnitResult> CandidateSurvey::ask(UnitKind kind, std::string server)
+pooling::WorkUnit CandidateSurvey::question(UnitKind kind) const
 {
-    pooling::WorkUnit unit{.kind = kind,
-                           .server = std::move(server),
-                           .workspace = this->asker,
-                           .queueLimit = AskLimit,
-                           .statementLimit = AskLimit};
+    return {.kind = kind, .workspace = this->asker, .queueLimit = AskLimit, .statementLimit = AskLimit};
+}
+
+net::awaitable<UnitResult> CandidateSurvey::askForProof(std::string server)
+{
+    pooling::WorkUnit unit = this->question(UnitKind::Prove);
+    unit.server = std::move(server);
     co_return co_await this->surroundings.ask(std::move(unit));
 }
 
-net::awaitable<std::vector<failover::PromotionCandidate>> CandidateSurvey::run(std::string service,
-                                                                               std::string excluded)
+net::awaitable<CandidateSurvey::Candidates> CandidateSurvey::run(std::string service, std::string excluded)
+{
+    co_return co_await this->askAll(std::move(service), std::move(excluded), this->question(UnitKind::Status));
+}
+
+net::awaitable<CandidateSurvey::Candidates>
+CandidateSurvey::pause(std::string service, std::string excluded, std::uint64_t term)
+{
+    pooling::WorkUnit unit = this->question(UnitKind::Pause);
+    unit.pauseTerm = term;
+    co_return co_await this->askAll(std::move(service), std::move(excluded), std::move(unit));
+}
+
+net::awaitable<CandidateSurvey::Candidates> CandidateSurvey::resume(std::string service, std::string excluded)
+{
+    co_return co_await this->askAll(std::move(service), std::move(excluded), this->question(UnitKind::Resume));
+}
+
+net::awaitable<CandidateSurvey::Candidates>
+CandidateSurvey::askAll(std::string service, std::string excluded, pooling::WorkUnit question)
 {
     const auto round = std::make_shared<Round>(this->executor);
     const std::shared_ptr<CandidateSurvey> self = this->shared_from_this();
@@ -63,7 +83,9 @@
         ++round->open;
         asio::co_spawn(
             this->executor,
-            [self, round, server = server]() -> net::awaitable<void> { co_await self->askOne(round, server); },
+            [self, round, server = server, question]() -> net::awaitable<void> {
+                co_await self->askOne(round, server, question);
+            },
             asio::detached);
     }
     if (round->open > 0) {
@@ -72,9 +94,11 @@
     co_return round->candidates;
 }
 
-net::awaitable<void> CandidateSurvey::askOne(std::shared_ptr<Round> round, BackendServer server)
+net::awaitable<void>
+CandidateSurvey::askOne(std::shared_ptr<Round> round, BackendServer server, pooling::WorkUnit question)
 {
-    const UnitResult result = co_await this->ask(UnitKind::Status, server.id);
+    question.server = server.id;
+    const UnitResult result = co_await this->surroundings.ask(std::move(question));
     const std::optional<ServerStatus> status = this->surroundings.readStatus(ServerReply{.rows = result.rows});
     if (result.outcome == UnitOutcome::Done && status) {
         round->candidates.push_back({.server = server.id,
--- a/gateway/candidatesurvey.h
+++ b/gateway/candidatesurvey.h
@@ -27,15 +27,26 @@
     /// @p asker is the workspace under which connections for the questions are opened.
     CandidateSurvey(net::Executor executor, std::string asker, CandidateSurveySurroundings surroundings);
 
+    using Candidates = std::vector<failover::PromotionCandidate>;
+
     /// Those of the servers of @p service, @p excluded not among them, that answered in time.
-    net::awaitable<std::vector<failover::PromotionCandidate>> run(std::string service, std::string excluded);
+    net::awaitable<Candidates> run(std::string service, std::string excluded);
+
+    /// Like run(); those that answer receive nothing more until they resume or a server is promoted. @p term must be
+    /// above every term that they have.
+    net::awaitable<Candidates> pause(std::string service, std::string excluded, std::uint64_t term);
+
+    /// Ends the pause of the servers of @p service.
+    net::awaitable<Candidates> resume(std::string service, std::string excluded);
 
-    /// Asks one server with a unit of @p kind, Status or Prove.
-    net::awaitable<pooling::UnitResult> ask(pooling::UnitKind kind, std::string server);
+    /// Asks @p server to prove that it leads.
+    net::awaitable<pooling::UnitResult> askForProof(std::string server);
 
 private:
     struct Round;
-    net::awaitable<void> askOne(std::shared_ptr<Round> round, BackendServer server);
+    net::awaitable<Candidates> askAll(std::string service, std::string excluded, pooling::WorkUnit question);
+    net::awaitable<void> askOne(std::shared_ptr<Round> round, BackendServer server, pooling::WorkUnit question);
+    pooling::WorkUnit question(pooling::UnitKind kind) const;
 
     net::Executor executor;
     std::string asker;
--- a/gateway/configuration.h
+++ b/gateway/configuration.h
@@ -98,6 +98,7 @@
     core::Milliseconds heartbeat{}; ///< Of backend servers.
     core::Milliseconds stopGrace{}; ///< From the request to stop to the end of the process.
     double processorShare = 1; ///< Of one core.
+    bool checksFences = true; ///< The promotion service refuses orders of former holders.
     std::string text; ///< The settings as read, to notice changes.
 };
 
--- a/gateway/daemonlease.cpp
+++ b/gateway/daemonlease.cpp
@@ -206,9 +206,9 @@
     this->dutyKnown = true;
 }
 
-bool DaemonLease::holdsDuty() const
+bool DaemonLease::holdsDuty(core::Duration reserve) const
 {
-    return this->electionRevision != 0 && core::BootClock::now() < this->dutyUntil;
+    return this->electionRevision != 0 && core::BootClock::now() + reserve < this->dutyUntil;
 }
 
 bool DaemonLease::wasElected() const
--- a/gateway/daemonlease.h
+++ b/gateway/daemonlease.h
@@ -49,8 +49,8 @@
     /// The store has been read; without a call of onDutyEntry() nobody holds the duty.
     void onStoreRead();
 
-    /// True while no other daemon can have been elected.
-    bool holdsDuty() const;
+    /// True while no other daemon can have been elected, and none will be for @p reserve.
+    bool holdsDuty(core::Duration reserve = {}) const;
 
     /// True if this daemon was elected and has not heard of another holder, whether or not its lease still runs.
     bool wasElected() const;
--- a/gateway/gatewaydaemon.cpp
+++ b/gateway/gatewaydaemon.cpp
@@ -32,6 +32,8 @@
 constexpr double HomeProcessorPart = 0.5;
 /// Daemons in the order of homes of a server: the home and those that are tried when it cannot reach the server.
 constexpr std::size_t HomesPerServer = 4;
+/// Time of the duty's lease that must be left for an order where the platform does not check fences.
+constexpr std::chrono::milliseconds UnfencedReserve{1'000};
 /// A daemon that has not reported for this long does not relay.
 constexpr std::chrono::milliseconds RelayReportLife{1'200};
 /// A relay whose watch has said nothing for this long takes changes from others without waiting for it.
@@ -264,6 +266,10 @@
 
 bool GatewayDaemon::mayOrderPromotions() const
 {
+    if (!this->adapter.deployment.checksFences) {
+        // Nobody stops an order that arrives after another daemon was elected.
+        return this->lease->holdsDuty(UnfencedReserve);
+    }
     if (this->lease->holdsDuty()) {
         return true;
     }
--- a/gateway/pooledserver.cpp
+++ b/gateway/pooledserver.cpp
@@ -131,6 +131,8 @@
         break;
     case UnitKind::Prove:
     case UnitKind::Status:
+    case UnitKind::Pause:
+    case UnitKind::Resume:
         result = co_await this->runOwnCommand(std::move(unit));
         break;
     case UnitKind::OpenTransaction:
@@ -410,8 +412,8 @@
             co_return obtained;
         }
     }
-    if (unit.kind == UnitKind::Status) {
-        Result status = co_await this->askStatus(*connection);
+    if (unit.kind != UnitKind::Prove) {
+        Result status = co_await this->askStatus(*connection, unit);
         this->keepOrDrop(connection, connection->link->isOpen());
         co_return status;
     }
--- a/gateway/pooledserver.h
+++ b/gateway/pooledserver.h
@@ -104,7 +104,7 @@
     net::awaitable<Result> runOnLease(Unit unit);
     net::awaitable<Result> endTransaction(Unit unit);
     net::awaitable<Result> runOwnCommand(Unit unit);
-    net::awaitable<Result> askStatus(Connection &connection);
+    net::awaitable<Result> askStatus(Connection &connection, const Unit &unit);
     net::awaitable<std::optional<Slot>> admit(const Unit &unit, pooling::UnitNeed need);
     net::awaitable<Result> obtainConnection(std::string workspace, bool transaction, std::shared_ptr<Connection> &out);
     net::awaitable<Result> prepareConnection(Connection &connection, const Unit &unit);
--- a/gateway/pooledserverstatements.cpp
+++ b/gateway/pooledserverstatements.cpp
@@ -174,10 +174,13 @@
     this->keepOrDrop(connection, clean);
 }
 
-net::awaitable<pooling::UnitResult> PooledServer::askStatus(Connection &connection)
+net::awaitable<pooling::UnitResult> PooledServer::askStatus(Connection &connection, const Unit &unit)
 {
+    const CommandKind kind = unit.kind == UnitKind::Pause ? CommandKind::Pause
+        : unit.kind == UnitKind::Resume                   ? CommandKind::Resume
+                                                          : CommandKind::Status;
     std::vector<ServerCommand> commands;
-    commands.push_back({.kind = CommandKind::Status});
+    commands.push_back({.kind = kind, .term = unit.pauseTerm});
     std::vector<ServerReply> replies = co_await connection.link->exchange(std::move(commands), ControlTimeout);
     if (replies.empty()) {
         co_return notRun(UnitError::ConnectionLost, "while its status was asked");
--- a/gateway/promotionduty.cpp
+++ b/gateway/promotionduty.cpp
@@ -1,6 +1,7 @@
 #include "gateway/promotionduty.h"
 
 #include "core/error.h"
+#include "session/freshnessproofs.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -8,11 +9,12 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+
 namespace endiveshore::gateway {
 
 namespace asio = boost::asio;
 using pooling::UnitError;
-using pooling::UnitKind;
 using pooling::UnitOutcome;
 using pooling::UnitResult;
 
@@ -32,9 +34,26 @@
 constexpr std::chrono::milliseconds PromotionWait{3'000};
 constexpr std::chrono::milliseconds PromotionPoll{80};
 constexpr std::chrono::milliseconds ServiceScan{200};
+/// A primary that leaves is replaced once a replica has received what it had this long before.
+constexpr std::chrono::milliseconds CatchUpInterval{100};
+/// Longest wait for it. A leaving server gets no work for much longer than this.
+constexpr std::chrono::milliseconds CatchUpLimit{3'000};
 /// A service without a primary gets one after this time; before it the primary may still be reporting itself.
 constexpr std::chrono::milliseconds MissingPrimaryPatience{1'000};
 
+std::string_view reasonName(PromotionDuty::Reason reason)
+{
+    switch (reason) {
+    case PromotionDuty::Reason::NoPrimary:
+        return "no primary known";
+    case PromotionDuty::Reason::NoAnswer:
+        return "no answer";
+    case PromotionDuty::Reason::Leaving:
+        return "leaving";
+    }
+    return {};
+}
+
 bool isAnswer(const UnitResult &result)
 {
     switch (result.error) {
@@ -120,7 +139,7 @@
 
 net::awaitable<void> PromotionDuty::askForProof(std::shared_ptr<Probe> probe, std::string server)
 {
-    const UnitResult result = co_await this->surroundings.survey->ask(UnitKind::Prove, std::move(server));
+    const UnitResult result = co_await this->surroundings.survey->askForProof(std::move(server));
     --probe->open;
     if (isAnswer(result)) {
         probe->isAnswered = true;
@@ -163,6 +182,7 @@
     failover::PrimarySuspicion suspicion;
     std::string watchedServer;
     std::optional<core::TimePoint> missingSince;
+    co_await this->endPauses(service, term);
     while (this->isCurrent(term)) {
         const std::shared_ptr<const GatewayView> view = this->surroundings.view();
         const BackendServer *const primary = view->primary(service);
@@ -170,7 +190,8 @@
         if (primary == nullptr) {
             missingSince = missingSince.value_or(now);
             if (now >= *missingSince + MissingPrimaryPatience && this->surroundings.mayAct()) {
-                co_await this->replacePrimary(service, std::string(), "no primary known", term);
+                Replacement first{.service = service, .reason = Reason::NoPrimary, .dutyTerm = term};
+                co_await this->replacePrimary(std::move(first));
                 missingSince.reset();
             }
             co_await this->pause(ProbeInterval);
@@ -182,7 +203,9 @@
             suspicion.reset();
         }
         if (primary->isLeaving && this->surroundings.mayAct()) {
-            co_await this->replacePrimary(service, watchedServer, "leaving", term);
+            Replacement planned{
+                .service = service, .former = watchedServer, .reason = Reason::Leaving, .dutyTerm = term};
+            co_await this->replacePrimary(std::move(planned));
             co_await this->pause(ProbeInterval);
             continue;
         }
@@ -201,51 +224,158 @@
             suspicion.reset();
         }
         if (suspicion.isDead() && this->isCurrent(term) && this->surroundings.mayAct()) {
-            co_await this->replacePrimary(service, watchedServer, "no answer", term);
+            Replacement urgent{
+                .service = service, .former = watchedServer, .reason = Reason::NoAnswer, .dutyTerm = term};
+            co_await this->replacePrimary(std::move(urgent));
             suspicion.reset();
         }
         co_await this->pause(probe->isAnswered ? ProbeInterval : SuspectInterval);
     }
 }
 
-net::awaitable<void>
-PromotionDuty::replacePrimary(std::string service, std::string former, std::string reason, std::uint64_t term)
+net::awaitable<void> PromotionDuty::replacePrimary(Replacement replacement)
 {
-    const std::vector<failover::PromotionCandidate> candidates
-        = co_await this->surroundings.survey->run(service, former);
-    if (!this->isCurrent(term) || !this->surroundings.mayAct()) {
-        co_return;
-    }
+    CandidateSurvey &survey = *this->surroundings.survey;
+    Candidates candidates = co_await survey.run(replacement.service, replacement.former);
     const failover::PromotionCandidate *const leading = failover::leadingCandidate(candidates);
-    if (leading != nullptr) {
+    if (leading != nullptr && this->mayGoOn(replacement)) {
         // Somebody else has promoted it; the news has not arrived yet.
-        this->log.line("primary_found").field("service", service).field("server", leading->server);
-        this->surroundings.onPromoted(service, leading->server, this->fences->next());
+        this->log.line("primary_found").field("service", replacement.service).field("server", leading->server);
+        this->surroundings.onPromoted(replacement.service, leading->server, this->fences->next());
         co_return;
     }
-    const failover::PromotionCandidate *const chosen = failover::choosePromotion(candidates);
-    if (chosen == nullptr || (reason == "leaving" && chosen->isLeaving)) {
+    if (replacement.reason == Reason::Leaving) {
+        candidates = co_await this->awaitCatchUp(replacement);
+    }
+    const unsigned synchronous = this->synchronousReplicas(replacement.service);
+    if (synchronous > 0) {
+        candidates = co_await this->stopReceiving(replacement, std::move(candidates), synchronous);
+    }
+    const std::optional<failover::PromotionCandidate> chosen
+        = this->mayGoOn(replacement) ? this->choose(replacement, candidates) : std::nullopt;
+    bool promoted = false;
+    if (chosen) {
+        promoted = co_await this->promote(replacement, *chosen, candidates.size());
+    }
+    if (!promoted && synchronous > 0) {
+        // Without its replicas the primary cannot acknowledge anything.
+        co_await survey.resume(replacement.service, std::string());
+    }
+}
+
+bool PromotionDuty::mayGoOn(const Replacement &replacement) const
+{
+    return this->isCurrent(replacement.dutyTerm) && this->surroundings.mayAct();
+}
+
+unsigned PromotionDuty::synchronousReplicas(const std::string &service) const
+{
+    const std::shared_ptr<const GatewayView> view = this->surroundings.view();
+    if (view->configuration == nullptr) {
+        return 0;
+    }
+    const auto found = view->configuration->services.find(service);
+    return found == view->configuration->services.end() ? 0 : found->second.synchronousReplicas;
+}
+
+net::awaitable<void> PromotionDuty::endPauses(std::string service, std::uint64_t term)
+{
+    const std::shared_ptr<const GatewayView> view = this->surroundings.view();
+    const BackendServer *const primary = view->primary(service);
+    if (this->synchronousReplicas(service) == 0 || primary == nullptr) {
+        co_return;
+    }
+    // An order for the present primary changes nothing, but a late one of the former holder is refused after it.
+    PromotionOrder order{
+        .service = service, .server = primary->id, .holder = this->daemonId, .fence = this->fences->next()};
+    const PromotionAnswer answer = co_await this->orders->promote(std::move(order), OrderTimeout);
+    if (answer == PromotionAnswer::Accepted && this->isCurrent(term)) {
+        co_await this->surroundings.survey->resume(service, std::string());
+    }
+}
+
+net::awaitable<PromotionDuty::Candidates> PromotionDuty::awaitCatchUp(Replacement replacement)
+{
+    const core::TimePoint giveUp = core::Clock::now() + CatchUpLimit;
+    std::optional<session::LogPosition> target;
+    while (true) {
+        Candidates candidates = co_await this->surroundings.survey->run(replacement.service, std::string());
+        std::optional<session::LogPosition> primary;
+        std::erase_if(candidates, [&](const failover::PromotionCandidate &candidate) {
+            if (candidate.server == replacement.former) {
+                primary = candidate.received;
+            }
+            return candidate.server == replacement.former;
+        });
+        const failover::PromotionCandidate *const best = failover::choosePromotion(candidates);
+        const bool caughtUp = best != nullptr && target && !session::isBefore(best->received, *target);
+        if (caughtUp || !primary || core::Clock::now() >= giveUp || !this->mayGoOn(replacement)) {
+            co_return candidates;
+        }
+        target = primary;
+        co_await this->pause(CatchUpInterval);
+    }
+}
+
+net::awaitable<PromotionDuty::Candidates>
+PromotionDuty::stopReceiving(Replacement replacement, Candidates known, unsigned synchronous)
+{
+    std::uint64_t newestTerm = 0;
+    for (const failover::PromotionCandidate &candidate : known) {
+        newestTerm = std::max(newestTerm, candidate.term);
+    }
+    Candidates stopped
+        = co_await this->surroundings.survey->pause(replacement.service, replacement.former, newestTerm + 1);
+    const std::shared_ptr<const GatewayView> view = this->surroundings.view();
+    const auto replicas = std::ranges::count_if(view->servers, [&](const auto &entry) {
+        return entry.second.service == replacement.service && entry.first != replacement.former;
+    });
+    // An acknowledged commit is at that many replicas, so all the others have to be known for none of them to be lost.
+    if (stopped.size() + synchronous <= static_cast<std::size_t>(replicas)) {
+        this->log.line("replicas_missing", telemetry::LogLevel::Warning)
+            .field("service", replacement.service)
+            .field("answered", stopped.size())
+            .field("replicas", replicas)
+            .field("synchronous", synchronous);
+        stopped.clear();
+    }
+    co_return stopped;
+}
+
+std::optional<failover::PromotionCandidate> PromotionDuty::choose(const Replacement &replacement,
+                                                                  const Candidates &candidates) const
+{
+    const bool keepsCommits = this->synchronousReplicas(replacement.service) > 0;
+    const failover::PromotionCandidate *const chosen
+        = keepsCommits ? failover::mostAdvanced(candidates) : failover::choosePromotion(candidates);
+    if (chosen == nullptr || (replacement.reason == Reason::Leaving && chosen->isLeaving)) {
         this->log.line("promotion_impossible", telemetry::LogLevel::Warning)
-            .field("service", service)
-            .field("former", former)
-            .field("reason", reason)
+            .field("service", replacement.service)
+            .field("former", replacement.former)
+            .field("reason", reasonName(replacement.reason))
             .field("candidates", candidates.size());
-        co_return;
+        return std::nullopt;
     }
-    const std::string server = chosen->server;
+    return *chosen;
+}
+
+net::awaitable<bool>
+PromotionDuty::promote(Replacement replacement, failover::PromotionCandidate chosen, std::size_t candidates)
+{
     const std::uint64_t fence = this->fences->next();
     this->log.line("promotion_ordered", telemetry::LogLevel::Warning)
-        .field("service", service)
-        .field("server", server)
-        .field("former", former)
-        .field("reason", reason)
-        .field("received_term", chosen->received.term)
-        .field("received_position", chosen->received.position)
-        .field("candidates", candidates.size())
+        .field("service", replacement.service)
+        .field("server", chosen.server)
+        .field("former", replacement.former)
+        .field("reason", reasonName(replacement.reason))
+        .field("received_term", chosen.received.term)
+        .field("received_position", chosen.received.position)
+        .field("candidates", candidates)
         .field("fence", fence);
     PromotionAnswer answer = PromotionAnswer::Busy;
-    for (int attempt = 0; attempt < OrderAttempts && this->isCurrent(term); ++attempt) {
-        PromotionOrder order{.service = service, .server = server, .holder = this->daemonId, .fence = fence};
+    for (int attempt = 0; attempt < OrderAttempts && this->mayGoOn(replacement); ++attempt) {
+        PromotionOrder order{
+            .service = replacement.service, .server = chosen.server, .holder = this->daemonId, .fence = fence};
         answer = co_await this->orders->promote(std::move(order), OrderTimeout);
         if (answer == PromotionAnswer::Accepted || answer == PromotionAnswer::Refused) {
             break;
@@ -253,23 +383,24 @@
         co_await this->pause(SuspectInterval);
     }
     this->log.line("promotion_answered")
-        .field("service", service)
-        .field("server", server)
+        .field("service", replacement.service)
+        .field("server", chosen.server)
         .field("fence", fence)
         .field("answer", static_cast<int>(answer));
     if (answer == PromotionAnswer::Refused) {
         this->surroundings.onFenced();
-        co_return;
+        co_return false;
     }
     const core::TimePoint giveUp = core::Clock::now() + PromotionWait;
-    while (core::Clock::now() < giveUp && this->isCurrent(term)) {
-        const UnitResult result = co_await this->surroundings.survey->ask(UnitKind::Prove, server);
+    while (core::Clock::now() < giveUp && this->isCurrent(replacement.dutyTerm)) {
+        const UnitResult result = co_await this->surroundings.survey->askForProof(chosen.server);
         if (result.outcome == UnitOutcome::Done) {
-            this->surroundings.onPromoted(service, server, fence);
-            co_return;
+            this->surroundings.onPromoted(replacement.service, chosen.server, fence);
+            co_return true;
         }
         co_await this->pause(PromotionPoll);
     }
+    co_return false;
 }
 
 }
--- a/gateway/promotionduty.h
+++ b/gateway/promotionduty.h
@@ -41,6 +41,13 @@
                   PromotionDutySurroundings surroundings,
                   telemetry::DecisionLog &log);
 
+    /// Why a primary is replaced.
+    enum class Reason {
+        NoPrimary, ///< None is known.
+        NoAnswer,
+        Leaving,
+    };
+
     /// This daemon has become the holder.
     void start(std::uint64_t electionRevision);
 
@@ -48,11 +55,34 @@
     void stop();
 
 private:
+    using Candidates = CandidateSurvey::Candidates;
+
+    struct Replacement
+    {
+        std::string service;
+        std::string former = {}; ///< Empty if none is known.
+        Reason reason = Reason::NoPrimary;
+        std::uint64_t dutyTerm = 0;
+    };
+
     /// One service under watch; ends when the duty does.
     net::awaitable<void> watchService(std::string service, std::uint64_t term);
     net::awaitable<void> watchServices(std::uint64_t term);
-    net::awaitable<void>
-    replacePrimary(std::string service, std::string former, std::string reason, std::uint64_t term);
+    /// Ends pauses of replicas that a former holder may have left behind.
+    net::awaitable<void> endPauses(std::string service, std::uint64_t term);
+    /// Makes another server the primary, if one can be found that may.
+    net::awaitable<void> replacePrimary(Replacement replacement);
+    /// Candidates once one of them has received what the leaving primary had a moment ago, or after a time limit.
+    net::awaitable<Candidates> awaitCatchUp(Replacement replacement);
+    /// Stops the replicas from receiving, so that the former primary can acknowledge no more commits, and returns their
+    /// positions; nothing if one of those that did not answer may have an acknowledged commit that no other one has.
+    net::awaitable<Candidates> stopReceiving(Replacement replacement, Candidates known, unsigned synchronous);
+    std::optional<failover::PromotionCandidate> choose(const Replacement &replacement,
+                                                       const Candidates &candidates) const;
+    /// Orders the promotion and waits until the server leads. False if it does not.
+    net::awaitable<bool> promote(Replacement replacement, failover::PromotionCandidate chosen, std::size_t candidates);
+    bool mayGoOn(const Replacement &replacement) const;
+    unsigned synchronousReplicas(const std::string &service) const;
     struct Probe;
     /// Asks @p server for a proof that it leads: once, and a second time if the first question fails or hangs.
     net::awaitable<std::shared_ptr<const Probe>> probe(std::string server);
--- a/gateway/serverlink.h
+++ b/gateway/serverlink.h
@@ -22,6 +22,8 @@
     SetValue,
     Prepare,
     Status,
+    Pause, ///< Stops a replica from receiving.
+    Resume,
     CallerStatement, ///< Text of a caller, unchanged.
     CallerExecute, ///< Execution of a prepared statement under the name that it has on the connection.
 };
@@ -35,6 +37,7 @@
     std::string value = {};
     pooling::PreparedShape shape = {};
     session::LogPosition minimumPosition = {}; ///< Term 0: none. For reads and the start of transactions.
+    std::uint64_t term = 0; ///< Of a pause.
 };
 
 enum class ServerState {
--- a/gateway/workmessage.cpp
+++ b/gateway/workmessage.cpp
@@ -84,6 +84,9 @@
         object.emplace("v", std::move(values));
     }
     addPosition(object, "m", unit.minimumPosition);
+    if (unit.pauseTerm != 0) {
+        object.emplace("u", unit.pauseTerm);
+    }
     object.emplace("r", static_cast<int>(unit.urgency));
     object.emplace("q", unit.queueLimit.count());
     object.emplace("a", unit.statementLimit.count());
@@ -94,7 +97,7 @@
 leaf::result<pooling::WorkUnit> workUnitFromJson(const json::object &object)
 {
     pooling::WorkUnit unit;
-    if (!readEnumeration(object, "k", UnitKind::Status, unit.kind)
+    if (!readEnumeration(object, "k", UnitKind::Resume, unit.kind)
         || !readEnumeration(object, "r", queueing::Priority::StaleRead, unit.urgency)) {
         return leaf::new_error(malformed("unit of work"));
     }
@@ -119,6 +122,7 @@
         }
     }
     unit.minimumPosition = readPosition(object, "m");
+    unit.pauseTerm = static_cast<std::uint64_t>(core::jsonInteger(object, "u"));
     unit.queueLimit = readMilliseconds(object, "q");
     unit.statementLimit = readMilliseconds(object, "a");
     unit.idleLimit = readMilliseconds(object, "d");
--- a/pooling/statement.h
+++ b/pooling/statement.h
@@ -67,6 +67,8 @@
     Rollback, ///< Rolls back the transaction of a lease, which ends.
     Prove, ///< Begins and rolls back a transaction, which proves the primary's position.
     Status, ///< Asks the server for its role and position; the answer is the only row.
+    Pause, ///< Like Status; a replica also stops receiving until it resumes or a server is promoted.
+    Resume, ///< Like Status; ends a pause.
 };
 
 /// One unit of work for the home of a server.
@@ -81,6 +83,7 @@
     SessionValues values;
     session::LogPosition minimumPosition; ///< Term 0: none.
     std::string lease; ///< Of the transaction, for InTransaction, Commit and Rollback.
+    std::uint64_t pauseTerm = 0; ///< For Pause: above every term that the servers have.
     queueing::Priority urgency = queueing::Priority::Read; ///< Class in the queues of servers.
     std::chrono::milliseconds queueLimit{}; ///< Longest wait for a connection and a slot.
     std::chrono::milliseconds statementLimit{}; ///< Longest wait for the server's answer.
--- a/tests/gateway/test_daemonlease.cpp
+++ b/tests/gateway/test_daemonlease.cpp
@@ -124,6 +124,15 @@
     EXPECT_TRUE(daemon->lease->wasElected());
 }
 
+// Guards against an order that is carried out after another daemon was elected, where fences are not checked.
+TEST_F(DaemonLeaseTest, ReserveIsPartOfTheLease)
+{
+    const auto daemon = this->startDaemon("a");
+    this->runUntil([&] { return daemon->lease->holdsDuty(); });
+    EXPECT_TRUE(daemon->lease->holdsDuty(500ms));
+    EXPECT_FALSE(daemon->lease->holdsDuty(1min));
+}
+
 // Guards against a planned stop that leaves the duty to nobody for the rest of the lease.
 TEST_F(DaemonLeaseTest, StoppingHolderGivesTheDutyUpAtOnce)
 {
--- a/tests/gateway/test_promotionduty.cpp
+++ b/tests/gateway/test_promotionduty.cpp
@@ -8,6 +8,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 
@@ -80,8 +81,16 @@
 
     net::awaitable<UnitResult> ask(pooling::WorkUnit unit)
     {
-        if (unit.kind == UnitKind::Status) {
-            co_return UnitResult{.outcome = UnitOutcome::Done, .rows = {this->statuses[unit.server]}};
+        if (unit.kind != UnitKind::Prove) {
+            this->questions.push_back(unit);
+            const auto status = this->statuses.find(unit.server);
+            if (status == this->statuses.end()) {
+                co_return UnitResult{.error = UnitError::Unreachable};
+            }
+            if (unit.kind == UnitKind::Status && this->onStatus) {
+                this->onStatus(unit.server);
+            }
+            co_return UnitResult{.outcome = UnitOutcome::Done, .rows = {status->second}};
         }
         const UnitError error = unit.server == "a" ? this->primaryError : UnitError::None;
         if (unit.server == "a" && this->primaryHangs) {
@@ -96,6 +105,21 @@
                              .error = error};
     }
 
+    /// The service acknowledges a commit once one replica has received it.
+    void replicateSynchronously()
+    {
+        GatewayView next = *this->view;
+        Configuration configuration;
+        configuration.services["db"] = {.name = "db", .connectionLimit = 20, .synchronousReplicas = 1};
+        next.configuration = std::make_shared<const Configuration>(configuration);
+        this->view = std::make_shared<const GatewayView>(next);
+    }
+
+    std::size_t questionsOf(UnitKind kind) const
+    {
+        return static_cast<std::size_t>(std::ranges::count(this->questions, kind, &pooling::WorkUnit::kind));
+    }
+
     void run(core::Duration time)
     {
         this->context.restart();
@@ -117,6 +141,8 @@
     std::shared_ptr<const GatewayView> view;
     std::shared_ptr<PromotionDuty> duty;
     std::map<std::string, std::string> statuses{{"b", "replica 3 3.90 0 5 0 1"}, {"c", "replica 3 3.97 0 5 0 1"}};
+    std::vector<pooling::WorkUnit> questions;
+    std::function<void(const std::string &server)> onStatus;
     UnitError primaryError = UnitError::None;
     bool primaryHangs = false;
     int openQuestions = 0;
@@ -208,6 +234,78 @@
     EXPECT_EQ(this->orders->orders.front().server, "c");
 }
 
+// Guards against commits that a planned change of primary rolls back because the replicas lagged at that moment.
+TEST_F(PromotionDutyTest, LeavingPrimaryIsReplacedOnceAReplicaHasCaughtUp)
+{
+    GatewayView leaving = *this->view;
+    leaving.servers.at("a").isLeaving = true;
+    this->view = std::make_shared<const GatewayView>(leaving);
+    this->statuses["a"] = "primary 3 3.120 0 5 0 1";
+    int rounds = 0;
+    this->onStatus = [&](const std::string &server) {
+        if (server == "a" && ++rounds == 4) {
+            this->statuses["b"] = "replica 3 3.120 0 5 0 1";
+        }
+    };
+    this->duty->start(41);
+    this->runUntil([this] { return !this->orders->orders.empty(); });
+    EXPECT_EQ(this->orders->orders.front().server, "b");
+    EXPECT_GE(rounds, 4);
+}
+
+// Guards against the loss of a commit that the primary acknowledges between the question and the promotion: the
+// replicas receive nothing more by then.
+TEST_F(PromotionDutyTest, SynchronousReplicasStopReceivingBeforeTheChoice)
+{
+    this->replicateSynchronously();
+    this->primaryError = UnitError::Unreachable;
+    this->duty->start(41);
+    this->runUntil([this] { return !this->promoted.empty(); });
+    ASSERT_EQ(this->questionsOf(UnitKind::Pause), 2U);
+    const auto pause = std::ranges::find(this->questions, UnitKind::Pause, &pooling::WorkUnit::kind);
+    EXPECT_EQ(pause->pauseTerm, 4U);
+    EXPECT_EQ(this->promoted, "c");
+}
+
+// Guards against a promotion while the only replica with an acknowledged commit may be the one that does not answer,
+// and against replicas that stay paused then.
+TEST_F(PromotionDutyTest, SynchronousServiceWaitsForItsReplicas)
+{
+    this->replicateSynchronously();
+    this->primaryError = UnitError::Unreachable;
+    this->statuses.erase("c");
+    this->duty->start(41);
+    this->runUntil([this] { return this->questionsOf(UnitKind::Resume) >= 6; });
+    EXPECT_TRUE(this->promoted.empty());
+    this->statuses["c"] = "replica 3 3.97 0 5 0 1";
+    this->runUntil([this] { return !this->promoted.empty(); });
+    EXPECT_EQ(this->promoted, "c");
+}
+
+// Guards against a leaving replica that alone has an acknowledged commit and is passed over.
+TEST_F(PromotionDutyTest, SynchronousServiceTakesTheMostAdvancedReplica)
+{
+    this->replicateSynchronously();
+    GatewayView leaving = *this->view;
+    leaving.servers.at("c").isLeaving = true;
+    this->view = std::make_shared<const GatewayView>(leaving);
+    this->primaryError = UnitError::Unreachable;
+    this->duty->start(41);
+    this->runUntil([this] { return !this->promoted.empty(); });
+    EXPECT_EQ(this->promoted, "c");
+}
+
+// Guards against replicas that a former holder paused before it died, and against its late orders.
+TEST_F(PromotionDutyTest, NewHolderFencesTheFormerOneAndEndsItsPauses)
+{
+    this->replicateSynchronously();
+    this->duty->start(41);
+    this->runUntil([this] { return this->questionsOf(UnitKind::Resume) >= 3; });
+    ASSERT_EQ(this->orders->orders.size(), 1U);
+    EXPECT_EQ(this->orders->orders.front().server, "a");
+    EXPECT_GT(this->orders->orders.front().fence, 4'100'000U);
+}
+
 // Guards against orders of a daemon whose lease may have passed to another one.
 TEST_F(PromotionDutyTest, NothingIsOrderedWithoutTheDuty)
 {
--- a/tests/platform/test_documents.cpp
+++ b/tests/platform/test_documents.cpp
@@ -26,6 +26,16 @@
 
 }
 
+// Guards against late orders where nothing but the duty's own lease stops them.
+TEST(Deployment, UncheckedFencesAreNoticed)
+{
+    EXPECT_TRUE(readDeployment(Settings).checksFences);
+    const std::string unchecked = std::string(Settings) + "bounds.fencing_enforced=false\n";
+    EXPECT_FALSE(readDeployment(unchecked).checksFences);
+    const std::string wrong = std::string(Settings) + "bounds.fencing_enforced=perhaps\n";
+    EXPECT_THROW(readDeployment(wrong), core::Error);
+}
+
 TEST(Deployment, SettingsAreRead)
 {
     const gateway::Deployment deployment = readDeployment(Settings);
--- a/tests/platform/test_lineformat.cpp
+++ b/tests/platform/test_lineformat.cpp
@@ -140,6 +140,8 @@
 
 TEST(ServerLines, StatusIsReadOrRefused)
 {
+    EXPECT_EQ(commandLine({.kind = CommandKind::Pause, .term = 4}), "QUERY - PAUSE 4\r\n");
+    EXPECT_EQ(commandLine({.kind = CommandKind::Resume}), "QUERY - RESUME\r\n");
     const auto status = readStatus({.rows = {"replica 3 3.1209 0 12 2 17"}});
     ASSERT_TRUE(status);
     EXPECT_FALSE(status->isPrimary);
