Accept no sessions in the second half of a planned stop

Ruled out: sessions that were not closed (this one had begun after SIGTERM), a slow statement (it ran in 30 ms). Change: sessions are closed in five steps instead of eight, and with the last one, 3 s after SIGTERM, the daemon stops accepting; what it has is served in the rest.

--- a/gateway/gatewaydaemon.cpp
+++ b/gateway/gatewaydaemon.cpp
@@ -42,8 +42,9 @@
 constexpr std::chrono::milliseconds MetadataRetry{300};
 /// The balancer takes a daemon out after two missed questions, one second apart.
 constexpr std::chrono::milliseconds BalancerLag{2'200};
-/// Idle sessions are closed in this many steps, so that their callers do not reconnect all at once.
-constexpr unsigned CloseSteps = 8;
+/// Idle sessions are closed in this many steps, so that their callers do not reconnect all at once. With the balancer's
+/// lag they take half of a grace of 6 s; the rest is for statements that have been received by then.
+constexpr unsigned CloseSteps = 5;
 constexpr std::chrono::milliseconds CloseInterval{200};
 /// Time that the end of the process takes after its last session.
 constexpr std::chrono::milliseconds ExitReserve{400};
@@ -563,7 +564,14 @@
     const core::TimePoint transactionEnd = start + grace / 2;
     const core::TimePoint last = start + grace - ExitReserve;
     unsigned remaining = CloseSteps;
+    bool accepting = true;
     while (core::Clock::now() < last) {
+        // The balancer sends callers here to the end if most daemons of the data centre are stopping. What a new
+        // session asks has to be answered in the time that is left.
+        if (accepting && remaining == 1) {
+            accepting = false;
+            this->traffic.stopAccepting();
+        }
         // Once all sessions had their turn, those that callers still open are closed at every step.
         this->traffic.closeIdleSessions(remaining);
         remaining = std::max(1U, remaining - 1);
--- a/gateway/trafficcore.cpp
+++ b/gateway/trafficcore.cpp
@@ -190,6 +190,14 @@
     co_return co_await asio::co_spawn(this->context, take, asio::use_awaitable);
 }
 
+void TrafficCore::stopAccepting()
+{
+    asio::post(this->context, [this] {
+        boost::system::error_code ignored;
+        this->acceptor->close(ignored);
+    });
+}
+
 void TrafficCore::closeIdleSessions(unsigned parts)
 {
     asio::post(this->context, [this, parts] {
--- a/gateway/trafficcore.h
+++ b/gateway/trafficcore.h
@@ -49,6 +49,9 @@
     /// Operations wanted since the last call, by workspace.
     net::awaitable<std::map<std::string, std::uint64_t, std::less<>>> takeDemand();
 
+    /// Accepts no further sessions; those that are open go on.
+    void stopAccepting();
+
     /// Closes about one of @p parts of the idle sessions.
     void closeIdleSessions(unsigned parts);
 
