--- a/cmake/EndiveshoreTargets.cmake
+++ b/cmake/EndiveshoreTargets.cmake
@@ -1,15 +1,18 @@
-# Adds the static library endiveshore_<folder> from the sources of the folder, except its program entry points
-# (main_<program>.cpp). A folder without sources becomes an interface library.
-function(endiveshore_library folder)
-    cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
-    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/${folder}/*.cpp)
+# Adds the static library endiveshore_<name> from the sources of the folder of that name, or of FOLDER, except its
+# program entry points (main_<program>.cpp). A folder without sources becomes an interface library.
+function(endiveshore_library name)
+    cmake_parse_arguments(ARG "" "FOLDER" "LINK" ${ARGN})
+    if(NOT ARG_FOLDER)
+        set(ARG_FOLDER ${name})
+    endif()
+    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/${ARG_FOLDER}/*.cpp)
     list(FILTER sources EXCLUDE REGEX "/main_[^/]*\\.cpp$")
     if(sources)
-        add_library(endiveshore_${folder} STATIC ${sources})
-        target_link_libraries(endiveshore_${folder} PUBLIC ${ARG_LINK})
+        add_library(endiveshore_${name} STATIC ${sources})
+        target_link_libraries(endiveshore_${name} PUBLIC ${ARG_LINK})
     else()
-        add_library(endiveshore_${folder} INTERFACE)
-        target_link_libraries(endiveshore_${folder} INTERFACE ${ARG_LINK})
+        add_library(endiveshore_${name} INTERFACE)
+        target_link_libraries(endiveshore_${name} INTERFACE ${ARG_LINK})
     endif()
 endfunction()
 
--- a/standins/revisionstore.cpp
+++ b/standins/revisionstore.cpp
@@ -159,14 +159,14 @@
     }
 }
 
-std::int64_t RevisionStore::grantLease(std::int64_t id, std::chrono::seconds timeToLive, core::TimePoint now)
+std::int64_t RevisionStore::grantLease(std::int64_t id, core::Milliseconds timeToLive, core::TimePoint now)
 {
     const std::int64_t chosen = id != 0 ? id : this->nextLease++;
     this->leases[chosen] = {.timeToLive = timeToLive, .expiry = now + timeToLive};
     return chosen;
 }
 
-std::optional<std::chrono::seconds> RevisionStore::keepLeaseAlive(std::int64_t id, core::TimePoint now)
+std::optional<core::Milliseconds> RevisionStore::keepLeaseAlive(std::int64_t id, core::TimePoint now)
 {
     const auto found = this->leases.find(id);
     if (found == this->leases.end()) {
--- a/standins/revisionstore.h
+++ b/standins/revisionstore.h
@@ -112,9 +112,9 @@
     void compact(std::int64_t revision);
 
     /// Returns the id of a new lease; @p id 0 chooses one.
-    std::int64_t grantLease(std::int64_t id, std::chrono::seconds timeToLive, core::TimePoint now);
+    std::int64_t grantLease(std::int64_t id, core::Milliseconds timeToLive, core::TimePoint now);
     /// The time to live, or nothing if the lease is unknown.
-    std::optional<std::chrono::seconds> keepLeaseAlive(std::int64_t id, core::TimePoint now);
+    std::optional<core::Milliseconds> keepLeaseAlive(std::int64_t id, core::TimePoint now);
     /// Removes the lease and its keys; false if the lease is unknown.
     bool revokeLease(std::int64_t id);
     bool hasLease(std::int64_t id) const;
@@ -124,7 +124,7 @@
 private:
     struct Lease
     {
-        std::chrono::seconds timeToLive{0};
+        core::Milliseconds timeToLive{0};
         core::TimePoint expiry;
     };
 
--- a/standins/storestandin.cpp
+++ b/standins/storestandin.cpp
@@ -287,11 +287,11 @@
 net::awaitable<net::HttpResponse> StoreStandin::keepLeaseAlive(json::object body)
 {
     const std::int64_t id = gatewayInteger(body, "ID");
-    const std::optional<std::chrono::seconds> timeToLive = this->store.keepLeaseAlive(id, core::Clock::now());
+    const std::optional<core::Milliseconds> timeToLive = this->store.keepLeaseAlive(id, core::Clock::now());
     json::object result{{"header", headerJson(this->store.revision())}, {"ID", std::to_string(id)}};
     // The gateway answers an unknown lease with a time to live of zero, which it leaves out.
     if (timeToLive) {
-        result["TTL"] = std::to_string(timeToLive->count());
+        result["TTL"] = std::to_string(std::chrono::duration_cast<std::chrono::seconds>(*timeToLive).count());
     }
     const json::object answer{{"result", std::move(result)}};
     co_return net::jsonResponse(200, answer);
--- /dev/null
+++ b/tests/sessions/sessionfleet.cpp
@@ -0,0 +1,210 @@
+#include "sessionfleet.h"
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/json.hpp>
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+#include <unistd.h>
+
+namespace endiveshore::tests {
+
+namespace json = boost::json;
+using platform::standins::LineDatabaseOptions;
+using platform::standins::PlatformStandin;
+
+namespace {
+
+constexpr std::chrono::milliseconds PollInterval{20};
+constexpr std::chrono::milliseconds StartLimit{10'000};
+constexpr std::string_view Network = "127.0.0.";
+constexpr int FirstDaemonHost = 11;
+constexpr int FirstServerHost = 21;
+constexpr int PlatformHost = 31;
+
+// Below the range that Linux uses for outgoing connections and above the ports of the other process tests.
+constexpr std::uint16_t FirstPort = 30'100;
+constexpr std::uint16_t PortsPerFleet = 20;
+constexpr std::uint16_t Fleets = 50;
+
+// Offsets from the first port of a fleet, equal on all hosts.
+constexpr int CallerOffset = 0;
+constexpr int ReadinessOffset = 1;
+constexpr int ControlOffset = 2;
+constexpr int StoreOffset = 3;
+constexpr int PromotionOffset = 4;
+constexpr int PeerOffset = 5;
+constexpr int LastPeerOffset = 12;
+
+std::uint16_t nextPort()
+{
+    static std::uint16_t fleet = 0;
+    return static_cast<std::uint16_t>(FirstPort + (fleet++ % Fleets) * PortsPerFleet);
+}
+
+std::string address(int host)
+{
+    return std::string(Network) + std::to_string(host);
+}
+
+net::TcpEndpoint endpoint(int host, int port)
+{
+    return {boost::asio::ip::make_address(address(host)), static_cast<std::uint16_t>(port)};
+}
+
+std::string textOf(int host, int port)
+{
+    return address(host) + ":" + std::to_string(port);
+}
+
+}
+
+SessionFleet::SessionFleet()
+    : directory(::testing::TempDir() + "sessions-" + std::to_string(::getpid()))
+    , port(nextPort())
+{
+    std::filesystem::create_directories(this->directory);
+    LineDatabaseOptions database{.service = std::string(Service)};
+    for (int server = 0; server < 3; ++server) {
+        database.servers.push_back({.id = "server-" + std::to_string(server + 1),
+                                    .dataCentre = "z" + std::to_string(server + 1),
+                                    .endpoint = endpoint(FirstServerHost + server, this->port)});
+    }
+    this->standin = std::make_unique<PlatformStandin>(
+        platform::standins::PlatformStandinOptions{.store = endpoint(PlatformHost, this->port + StoreOffset),
+                                                   .promotions = endpoint(PlatformHost, this->port + PromotionOffset),
+                                                   .databases = {std::move(database)}});
+    this->configure(Key);
+}
+
+PlatformStandin &SessionFleet::platform()
+{
+    return *this->standin;
+}
+
+tools::ChildProcess &SessionFleet::daemon(std::size_t index)
+{
+    return this->daemons[index];
+}
+
+void SessionFleet::start()
+{
+    for (std::size_t index = 0; index < Daemons; ++index) {
+        this->startDaemon(index);
+    }
+    for (std::size_t index = 0; index < Daemons; ++index) {
+        ASSERT_TRUE(this->waitUntilReady(index, StartLimit)) << "daemon " << index;
+    }
+}
+
+void SessionFleet::startDaemon(std::size_t index)
+{
+    const int host = FirstDaemonHost + static_cast<int>(index);
+    const std::string name = "front-" + std::to_string(index + 1);
+    const std::string dataCentre = "z" + std::to_string(index + 1);
+    const std::string settings = this->directory + '/' + name + ".conf";
+    std::ofstream(settings) << "node=" << name << "\nclass=front\nip=" << address(host) << "\nzone=" << dataCentre
+                            << "\nregion=r1\nzones.z1=r1\nzones.z2=r1\nzones.z3=r1\nlisten.front="
+                            << textOf(host, this->port + CallerOffset)
+                            << "\nlisten.ready=" << textOf(host, this->port + ReadinessOffset)
+                            << "\nport_range=" << this->port + PeerOffset << ',' << this->port + LastPeerOffset
+                            << "\nseeds=" << textOf(FirstDaemonHost, this->port + ControlOffset)
+                            << "\nplatform.address=" << textOf(PlatformHost, this->port + StoreOffset)
+                            << "\ncloud_api.address=" << textOf(PlatformHost, this->port + PromotionOffset)
+                            << "\nheartbeat_ms=1000\nbounds.grace_s=" << Grace.count() / 1'000 << '\n';
+    this->daemons.emplace_back(ENDIVESHORE_BIN_DIR "/endiveshored",
+                               std::vector<std::string>{"sessions"},
+                               this->directory + '/' + name + ".log",
+                               std::vector<std::string>{"ENDIVESHORE_SETTINGS=" + settings});
+}
+
+bool SessionFleet::isReady(std::size_t index) const
+{
+    const int host = FirstDaemonHost + static_cast<int>(index);
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket(context);
+    boost::system::error_code error;
+    socket.connect(endpoint(host, this->port + ReadinessOffset), error);
+    if (error) {
+        return false;
+    }
+    const std::string request
+        = "GET /v1/readiness HTTP/1.1\r\nHost: " + address(host) + "\r\nConnection: close\r\n\r\n";
+    boost::asio::write(socket, boost::asio::buffer(request), error);
+    std::string answer;
+    boost::asio::read_until(socket, boost::asio::dynamic_buffer(answer), "\r\n", error);
+    return !error && answer.starts_with("HTTP/1.1 200");
+}
+
+bool SessionFleet::waitUntilReady(std::size_t index, std::chrono::milliseconds limit) const
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (!this->isReady(index)) {
+        if (std::chrono::steady_clock::now() >= end) {
+            return false;
+        }
+        std::this_thread::sleep_for(PollInterval);
+    }
+    return true;
+}
+
+LineCaller SessionFleet::connect(std::size_t index) const
+{
+    return LineCaller(endpoint(FirstDaemonHost + static_cast<int>(index), this->port + CallerOffset));
+}
+
+void SessionFleet::configure(std::string_view key)
+{
+    const auto route = [](std::string_view database, std::string_view kind) {
+        return json::object{{"name", database},
+                            {"host", database},
+                            {"prefix", "/"},
+                            {"kind", kind},
+                            {"timeout_ms", 1'000},
+                            {"slo_latency_ms", 800},
+                            {"priority", 1},
+                            {"service", Service},
+                            {"attempts", 2},
+                            {"max_staleness_ms", 2'000},
+                            {"public", false}};
+    };
+    const json::object configuration{
+        {"version", ++this->version},
+        {"routes", json::array{route(PrimaryDatabase, "primary"), route(SessionDatabase, "session")}},
+        {"services",
+         json::array{json::object{{"name", Service}, {"max_conns", 40}, {"protocol", "h1"}, {"sync_replicas", 0}}}},
+        {"limits", json::object{{"idle_timeout_ms", 15'000}, {"tx_idle_ms", 3'000}}},
+        {"tenants",
+         json::array{json::object{{"name", Workspace},
+                                  {"api_keys", json::array{key}},
+                                  {"priority", 1},
+                                  {"rate_per_s", 200},
+                                  {"burst", 200}}}}};
+    this->standin->ask([text = json::serialize(configuration)](PlatformStandin &platform) {
+        platform.store().put("op/config", text);
+    });
+}
+
+std::chrono::milliseconds
+SessionFleet::timeToWrite(std::size_t index, std::string_view item, std::chrono::milliseconds limit) const
+{
+    const auto start = std::chrono::steady_clock::now();
+    for (int attempt = 0; std::chrono::steady_clock::now() < start + limit; ++attempt) {
+        LineCaller caller = this->connect(index);
+        if (!caller.start(PrimaryDatabase, Key).succeeded()) {
+            std::this_thread::sleep_for(PollInterval);
+            continue;
+        }
+        const std::string request = std::string(item) + '-' + std::to_string(attempt);
+        if (caller.ask(request, "WRITE " + std::string(item) + " value").succeeded()) {
+            return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - start);
+        }
+    }
+    return limit;
+}
+
+}
--- /dev/null
+++ b/tests/sessions/test_sessions.cpp
@@ -0,0 +1,167 @@
+#include "sessionfleet.h"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <thread>
+
+namespace endiveshore::tests {
+
+using platform::standins::PlatformStandin;
+
+namespace {
+
+constexpr std::chrono::milliseconds TakeoverLimit{6'000}; // OPERATIONS.md: writes return within six seconds.
+constexpr std::chrono::milliseconds ConfigurationLimit{4'000}; // OPERATIONS.md: a configuration holds everywhere.
+constexpr std::chrono::milliseconds RestartLimit{8'000};
+constexpr std::chrono::milliseconds PollInterval{20};
+
+}
+
+/// Starts the daemons against the stand-in platform for each test.
+class Sessions : public ::testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        ASSERT_NO_FATAL_FAILURE(this->fleet.start());
+    }
+
+    std::string primary()
+    {
+        return this->fleet.platform().ask(
+            [](PlatformStandin &platform) { return platform.database(std::string(SessionFleet::Service)).primary(); });
+    }
+
+    int commits(const std::string &request)
+    {
+        return this->fleet.platform().ask([request](PlatformStandin &platform) {
+            return platform.database(std::string(SessionFleet::Service)).commits(request);
+        });
+    }
+
+    SessionFleet fleet;
+};
+
+// Guards against a path from caller to server that is broken anywhere: statements, prepared names, transactions.
+TEST_F(Sessions, StatementsAndTransactionsReachTheServers)
+{
+    for (std::size_t daemon = 0; daemon < SessionFleet::Daemons; ++daemon) {
+        LineCaller caller = this->fleet.connect(daemon);
+        ASSERT_TRUE(caller.start(SessionFleet::SessionDatabase, SessionFleet::Key).succeeded()) << daemon;
+        const std::string item = "item-" + std::to_string(daemon);
+        EXPECT_EQ(caller.ask("w" + item, "WRITE " + item + " first").signature, "signed");
+        const LineAnswer read = caller.ask("r" + item, "READ " + item);
+        EXPECT_EQ(read.rows, std::vector<std::string>{"first"}) << read.code;
+        EXPECT_TRUE(caller.ask("p" + item, "PREPARE change WRITE shape").succeeded());
+        EXPECT_TRUE(caller.ask("b" + item, "BEGIN").succeeded());
+        const LineAnswer execution = caller.ask("e" + item, "EXECUTE change " + item + " second");
+        EXPECT_EQ(execution.state, "T") << execution.code;
+        const LineAnswer committed = caller.ask("c" + item, "COMMIT");
+        EXPECT_EQ(committed.signature, "signed") << committed.code;
+        EXPECT_EQ(committed.state, "I");
+        EXPECT_EQ(caller.ask("s" + item, "READ " + item).rows, std::vector<std::string>{"second"});
+    }
+}
+
+// Guards against keys that reach a server, and against callers who are served without one.
+TEST_F(Sessions, KeysStayWithTheDaemons)
+{
+    EXPECT_EQ(this->fleet.connect(0).start(SessionFleet::PrimaryDatabase, "unknown-key").code, "UNAUTH");
+    EXPECT_EQ(this->fleet.connect(0).start("no-such-database", SessionFleet::Key).code, "NODB");
+    LineCaller caller = this->fleet.connect(1);
+    ASSERT_TRUE(caller.start(SessionFleet::PrimaryDatabase, SessionFleet::Key).succeeded());
+    EXPECT_TRUE(caller.ask("w1", "WRITE item value").succeeded());
+    const auto names = this->fleet.platform().ask(
+        [](PlatformStandin &platform) { return platform.database(std::string(SessionFleet::Service)).workspaces(); });
+    EXPECT_TRUE(names.contains(SessionFleet::Workspace));
+    EXPECT_FALSE(names.contains(SessionFleet::Key));
+}
+
+// Guards against a dead primary that nobody replaces, and against two that are ordered.
+TEST_F(Sessions, WritesReturnAfterThePrimaryDies)
+{
+    ASSERT_LT(this->fleet.timeToWrite(0, "before", TakeoverLimit), TakeoverLimit);
+    const std::string old = this->primary();
+    this->fleet.platform().ask(
+        [old](PlatformStandin &platform) { platform.database(std::string(SessionFleet::Service)).kill(old); });
+    for (std::size_t daemon = 0; daemon < SessionFleet::Daemons; ++daemon) {
+        EXPECT_LT(this->fleet.timeToWrite(daemon, "after-" + std::to_string(daemon), TakeoverLimit), TakeoverLimit);
+    }
+    EXPECT_NE(this->primary(), old);
+    EXPECT_EQ(this->fleet.platform().ask([](PlatformStandin &platform) { return platform.promotions(); }), 1);
+}
+
+// Guards against callers who wait for the metadata store.
+TEST_F(Sessions, CallersAreServedWhileTheStoreIsDown)
+{
+    this->fleet.platform().ask([](PlatformStandin &platform) { platform.store().setDown(true); });
+    LineCaller caller = this->fleet.connect(2);
+    ASSERT_TRUE(caller.start(SessionFleet::PrimaryDatabase, SessionFleet::Key).succeeded());
+    EXPECT_TRUE(caller.ask("w1", "WRITE item value").succeeded());
+    EXPECT_EQ(this->commits("w1"), 1);
+}
+
+// Guards against a key that was taken away and still serves sessions that are open.
+TEST_F(Sessions, WithdrawnKeysEndOpenSessions)
+{
+    LineCaller caller = this->fleet.connect(0);
+    ASSERT_TRUE(caller.start(SessionFleet::PrimaryDatabase, SessionFleet::Key).succeeded());
+    ASSERT_TRUE(caller.ask("w1", "WRITE item value").succeeded());
+    this->fleet.configure("another-key");
+    const auto start = std::chrono::steady_clock::now();
+    int number = 0;
+    while (caller.ask("r" + std::to_string(++number), "READ item").succeeded()) {
+        ASSERT_LT(std::chrono::steady_clock::now(), start + ConfigurationLimit);
+        std::this_thread::sleep_for(PollInterval);
+    }
+    EXPECT_EQ(this->fleet.connect(0).start(SessionFleet::PrimaryDatabase, SessionFleet::Key).code, "UNAUTH");
+    EXPECT_TRUE(this->fleet.connect(0).start(SessionFleet::PrimaryDatabase, "another-key").succeeded());
+}
+
+// Guards against a planned stop that cuts an open transaction, keeps idle sessions or outlives its time.
+TEST_F(Sessions, APlannedStopLetsTransactionsEnd)
+{
+    LineCaller idle = this->fleet.connect(0);
+    ASSERT_TRUE(idle.start(SessionFleet::PrimaryDatabase, SessionFleet::Key).succeeded());
+    LineCaller busy = this->fleet.connect(0);
+    ASSERT_TRUE(busy.start(SessionFleet::PrimaryDatabase, SessionFleet::Key).succeeded());
+    ASSERT_TRUE(busy.ask("b1", "BEGIN").succeeded());
+    ASSERT_TRUE(busy.ask("w1", "WRITE item value").succeeded());
+    this->fleet.daemon(0).sendSignal(SIGTERM);
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    EXPECT_FALSE(this->fleet.isReady(0));
+    EXPECT_EQ(busy.ask("c1", "COMMIT").signature, "signed");
+    EXPECT_EQ(this->commits("c1"), 1);
+    EXPECT_TRUE(idle.closesWithin(SessionFleet::Grace));
+    EXPECT_EQ(this->fleet.daemon(0).waitForExit(SessionFleet::Grace), std::optional<int>(0));
+}
+
+// Guards against a daemon that cannot start while the metadata store is away.
+TEST_F(Sessions, ARestartWithoutTheStoreLoadsFromTheOtherDaemons)
+{
+    this->fleet.platform().ask([](PlatformStandin &platform) { platform.store().setDown(true); });
+    this->fleet.daemon(1).restart();
+    ASSERT_TRUE(this->fleet.waitUntilReady(1, RestartLimit));
+    EXPECT_LT(this->fleet.timeToWrite(1, "item", TakeoverLimit), TakeoverLimit);
+}
+
+// Guards against changes that are missed when the store has dropped the history that a watch continues from.
+TEST_F(Sessions, ChangesAreSeenAfterTheStoreForgetsItsHistory)
+{
+    this->fleet.platform().ask([](PlatformStandin &platform) { platform.store().setDown(true); });
+    this->fleet.configure("another-key");
+    this->fleet.platform().ask([](PlatformStandin &platform) {
+        platform.store().forgetHistory();
+        platform.store().setDown(false);
+    });
+    const auto end = std::chrono::steady_clock::now() + ConfigurationLimit;
+    for (std::size_t daemon = 0; daemon < SessionFleet::Daemons; ++daemon) {
+        while (!this->fleet.connect(daemon).start(SessionFleet::PrimaryDatabase, "another-key").succeeded()) {
+            ASSERT_LT(std::chrono::steady_clock::now(), end) << "daemon " << daemon;
+            std::this_thread::sleep_for(PollInterval);
+        }
+    }
+}
+
+}
--- a/tools/childprocess.cpp
+++ b/tools/childprocess.cpp
@@ -18,10 +18,14 @@
 
 }
 
-ChildProcess::ChildProcess(std::string program, std::vector<std::string> arguments, std::string logFile)
+ChildProcess::ChildProcess(std::string program,
+                           std::vector<std::string> arguments,
+                           std::string logFile,
+                           std::vector<std::string> environment)
     : program(std::move(program))
     , arguments(std::move(arguments))
     , logFile(std::move(logFile))
+    , environment(std::move(environment))
 {
     this->start();
 }
@@ -35,6 +39,7 @@
     : program(std::move(other.program))
     , arguments(std::move(other.arguments))
     , logFile(std::move(other.logFile))
+    , environment(std::move(other.environment))
     , pid(std::exchange(other.pid, -1))
     , exitCode(other.exitCode)
 {
@@ -47,6 +52,7 @@
         this->program = std::move(other.program);
         this->arguments = std::move(other.arguments);
         this->logFile = std::move(other.logFile);
+        this->environment = std::move(other.environment);
         this->pid = std::exchange(other.pid, -1);
         this->exitCode = other.exitCode;
     }
@@ -105,13 +111,22 @@
         argv.push_back(argument.data());
     }
     argv.push_back(nullptr);
+    std::vector<char *> variables;
+    for (char **variable = environ; *variable != nullptr; ++variable) {
+        variables.push_back(*variable);
+    }
+    for (std::string &variable : this->environment) {
+        variables.push_back(variable.data());
+    }
+    variables.push_back(nullptr);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
     posix_spawn_file_actions_addopen(
         &actions, STDOUT_FILENO, this->logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-    const int error = ::posix_spawn(&this->pid, this->program.c_str(), &actions, nullptr, argv.data(), environ);
+    const int error
+        = ::posix_spawn(&this->pid, this->program.c_str(), &actions, nullptr, argv.data(), variables.data());
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0) {
         this->pid = -1;
--- a/tools/childprocess.h
+++ b/tools/childprocess.h
@@ -13,8 +13,12 @@
 class ChildProcess
 {
 public:
-    /// Starts @p program with @p arguments; standard output and error go to @p logFile. Throws std::system_error.
-    ChildProcess(std::string program, std::vector<std::string> arguments, std::string logFile);
+    /// Starts @p program with @p arguments; standard output and error go to @p logFile. The entries NAME=VALUE of
+    /// @p environment are added to the variables of this process. Throws std::system_error.
+    ChildProcess(std::string program,
+                 std::vector<std::string> arguments,
+                 std::string logFile,
+                 std::vector<std::string> environment = {});
     ~ChildProcess();
     ChildProcess(ChildProcess &&other) noexcept;
     ChildProcess &operator=(ChildProcess &&other) noexcept;
@@ -39,6 +43,7 @@
     std::string program;
     std::vector<std::string> arguments;
     std::string logFile;
+    std::vector<std::string> environment;
     pid_t pid = -1;
     std::optional<int> exitCode;
 };
