--- a/gateway/metadatasource.cpp
+++ b/gateway/metadatasource.cpp
@@ -18,8 +18,8 @@
 
 /// A watch that has gone silent is noticed after this time; every relay pays for one call each time that it passes.
 constexpr std::chrono::milliseconds WatchWait{8'000};
-/// A store that answers at all does so within this time. A read that hangs is given up soon: all callers of a fleet that
-/// has just started wait for the first one to succeed.
+/// A store that answers at all does so within this time. A read that hangs is given up soon: all callers of a fleet
+/// that has just started wait for the first one to succeed.
 constexpr std::chrono::milliseconds ReadTimeout{700};
 /// Pause between two watches for each daemon that watches.
 constexpr std::chrono::milliseconds PausePerWatcher{15};
