Give the regions' rate pools a few spare operations

Now a daemon asks the pool first and spends its own share only when the pool gives no answer; the part kept for that falls from 5 % to 0.5 % of the rate; the pools of all regions together hold ten operations beyond the burst; an operation that was given back is kept for the next caller.

Ruled out: larger waits for a turn (callers then wait for operations that do not exist), one pool for all regions (a message between regions for each operation, and nothing where regions are cut off).

--- a/gateway/gatewayreports.cpp
+++ b/gateway/gatewayreports.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 
 /// Reports between daemons: demand, shares of rates, newer configurations and promotions.
 namespace endiveshore::gateway {
@@ -85,6 +87,11 @@
     }
     auto next = std::make_shared<DaemonShares>();
     next->daemons = this->shares.holders(now);
+    std::set<std::string_view> regions;
+    for (const auto &[dataCentre, region] : this->adapter.deployment.regionOfDataCentre) {
+        regions.insert(region);
+    }
+    next->regions = regions.size();
     for (const auto &[name, workspace] : configuration->workspaces) {
         const double rate = workspace.limits.ratePerSecond;
         next->own.emplace(name, this->shares.share(name, rate, now));
--- a/gateway/rateclient.cpp
+++ b/gateway/rateclient.cpp
@@ -43,19 +43,23 @@
 {
     this->rates.countDemand(workspace);
     while (true) {
-        const core::TimePoint now = core::Clock::now();
-        // The own share comes first: it costs no message, and it is all there is when the pool cannot be reached.
-        if (this->rates.tryTake(workspace, now)) {
+        const bool isPooled = this->rates.isPooled(workspace);
+        if (isPooled && this->rates.tryTakeReturned(workspace)) {
             co_return true;
         }
-        core::Duration wait = this->rates.timeUntilNext(workspace, now);
-        if (this->rates.isPooled(workspace)) {
-            const core::Duration timeout = std::clamp<core::Duration>(waitUntil - now, {}, PoolTimeout);
-            const PoolAnswer answer = co_await this->askPool(workspace, timeout);
-            if (answer.granted) {
-                co_return true;
-            }
-            wait = std::min<core::Duration>(wait, answer.retryAfter);
+        PoolAnswer answer;
+        if (isPooled) {
+            const core::Duration left = waitUntil - core::Clock::now();
+            answer = co_await this->askPool(workspace, std::clamp<core::Duration>(left, {}, PoolTimeout));
+        }
+        // The own share of a pooled workspace is all there is while its pool cannot be reached.
+        if (answer.granted || (!answer.isReached && this->rates.tryTake(workspace, core::Clock::now()))) {
+            co_return true;
+        }
+        core::Duration wait = answer.retryAfter;
+        if (!answer.isReached) {
+            const core::Duration untilOwn = this->rates.timeUntilNext(workspace, core::Clock::now());
+            wait = isPooled ? std::min(untilOwn, wait) : untilOwn;
         }
         if (wait > waitUntil - core::Clock::now()) {
             co_return false;
@@ -81,7 +85,8 @@
     try {
         const net::HttpResponse response = co_await this->peers.exchange(endpoint, std::move(request), timeout);
         const json::object body = core::valueOrThrow([&response] { return core::parseJsonObject(response.body); });
-        co_return PoolAnswer{.granted = core::jsonBool(body, "g"),
+        co_return PoolAnswer{.isReached = core::jsonBool(body, "k"),
+                             .granted = core::jsonBool(body, "g"),
                              .retryAfter = core::Milliseconds(core::jsonInteger(body, "r"))};
     } catch (const core::Error &) {
         // The view names another home as soon as the loss of this one is known; until then the own share serves.
@@ -97,7 +102,7 @@
 json::object RateClient::serve(const json::object &request)
 {
     const PoolAnswer answer = this->rates.takeFromPool(core::jsonString(request, "w"), core::Clock::now());
-    return {{"g", answer.granted}, {"r", answer.retryAfter.count()}};
+    return {{"k", answer.isReached}, {"g", answer.granted}, {"r", answer.retryAfter.count()}};
 }
 
 }
--- a/gateway/rategate.cpp
+++ b/gateway/rategate.cpp
@@ -14,9 +14,12 @@
 /// Operations that a daemon's even share of the burst must hold. With fewer, callers that come by chance at the same
 /// moment are refused although their workspace is inside its rate.
 constexpr double MinimumOwnBurst = 6;
-/// Part of its even share that a daemon may spend by itself while the rate is pooled. Below what the platform
-/// tolerates above a rate.
-constexpr double BridgePart = 0.05;
+/// Part of the rate that refills the operations that daemons keep for the loss of their pool. Callers get it only then.
+constexpr double BridgePart = 0.005;
+/// Operations that the pools of all regions together hold beyond the burst: callers of one region who come by chance at
+/// the same moment are served although another region keeps the rest of the burst. Half of what the platform tolerates
+/// above any rate.
+constexpr double SpareOperations = 10;
 
 /// Limits of the part @p share of @p whole. A daemon without a share starts nothing.
 limits::ShareLimits partOf(const limits::ShareLimits &whole, double share)
@@ -52,6 +55,7 @@
     const auto isRemoved = [&](const auto &entry) { return !configuration.workspaces.contains(entry.first); };
     std::erase_if(this->buckets, isRemoved);
     std::erase_if(this->pools, isRemoved);
+    std::erase_if(this->returned, [&](const std::string &name) { return !configuration.workspaces.contains(name); });
     this->awaitingShare.clear();
     for (const auto &[name, workspace] : configuration.workspaces) {
         if (!shares.own.contains(name) && !this->buckets.contains(name)) {
@@ -66,8 +70,12 @@
             setBucket(this->buckets, name, partOf(whole, share), now);
             continue;
         }
-        const double region = shareOf(shares.region, name) * (1 - BridgePart);
-        setBucket(this->pools, name, partOf(whole, region), now);
+        limits::ShareLimits pool = partOf(whole, shareOf(shares.region, name));
+        pool.ratePerSecond *= 1 - BridgePart;
+        if (shares.regions > 1 && pool.ratePerSecond > 0) {
+            pool.burst += SpareOperations / static_cast<double>(shares.regions);
+        }
+        setBucket(this->pools, name, pool, now);
         const double bridge = BridgePart / static_cast<double>(shares.daemons);
         setBucket(this->buckets, name, {.ratePerSecond = whole.ratePerSecond * bridge, .burst = MinimumBurst}, now);
     }
@@ -85,11 +93,12 @@
         return {};
     }
     if (pool->second.tryTake(1, now)) {
-        return {.granted = true, .retryAfter = {}};
+        return {.isReached = true, .granted = true, .retryAfter = {}};
     }
     const core::Duration wait = pool->second.timeUntil(1, now);
     constexpr std::chrono::seconds LongestRetry{1};
-    return {.retryAfter = std::chrono::duration_cast<core::Milliseconds>(std::min<core::Duration>(wait, LongestRetry))
+    return {.isReached = true,
+            .retryAfter = std::chrono::duration_cast<core::Milliseconds>(std::min<core::Duration>(wait, LongestRetry))
                 + core::Milliseconds(1)};
 }
 
@@ -104,8 +113,22 @@
     return bucket != this->buckets.end() && bucket->second.tryTake(1, now);
 }
 
+bool RateGate::tryTakeReturned(std::string_view workspace)
+{
+    const auto found = this->returned.find(workspace);
+    if (found == this->returned.end()) {
+        return false;
+    }
+    this->returned.erase(found);
+    return true;
+}
+
 void RateGate::giveBack(std::string_view workspace)
 {
+    if (this->isPooled(workspace)) {
+        this->returned.emplace(workspace);
+        return;
+    }
     const auto bucket = this->buckets.find(workspace);
     if (bucket != this->buckets.end()) {
         bucket->second.giveBack(1);
--- a/gateway/rategate.h
+++ b/gateway/rategate.h
@@ -17,6 +17,7 @@
 /// Answer of a workspace's regional pool.
 struct PoolAnswer
 {
+    bool isReached = false; ///< False if the pool gave no answer.
     bool granted = false;
     core::Milliseconds retryAfter{100}; ///< If not granted: when the pool may have an operation again.
 };
@@ -27,6 +28,7 @@
     RateShares own; ///< Of this daemon alone.
     RateShares region; ///< Of all daemons of its region together.
     std::size_t daemons = 1; ///< That share the rates, over all regions.
+    std::size_t regions = 1; ///< That have daemons.
 };
 
 /// Counts the operations of workspaces against this daemon's share of their rates. Pure.
@@ -48,12 +50,15 @@
     /// Counts an operation as wanted. To be called once for each operation before tryTake().
     void countDemand(const std::string &workspace);
 
-    /// Spends one operation; false if the share is used up.
+    /// Spends one operation of this daemon's own share; false if the share is used up.
     bool tryTake(std::string_view workspace, core::TimePoint now);
 
-    /// Returns an operation that tryTake() allowed and that no server has run.
+    /// Returns an operation that was allowed and that no server has run. Of a pooled workspace, one is kept.
     void giveBack(std::string_view workspace);
 
+    /// Spends an operation of a pooled workspace that was given back; false if there is none.
+    bool tryTakeReturned(std::string_view workspace);
+
     /// Time until the next operation of @p workspace is allowed, or until asking again while its share is not known.
     core::Duration timeUntilNext(std::string_view workspace, core::TimePoint now);
 
@@ -75,6 +80,7 @@
     RateShares currentShares;
     std::set<std::string, std::less<>> awaitingShare; ///< Configured workspaces whose share is not known yet.
     std::map<std::string, std::uint64_t, std::less<>> wanted;
+    std::set<std::string, std::less<>> returned; ///< Pooled workspaces with an operation that was given back.
 };
 
 }
--- a/tests/gateway/test_rategate.cpp
+++ b/tests/gateway/test_rategate.cpp
@@ -45,6 +45,19 @@
     EXPECT_FALSE(gate.tryTake("w", Start));
 }
 
+// Guards against an operation of a pooled workspace that no server has run and that is lost to it, or multiplied.
+TEST(RateGate, OneReturnedOperationOfAPooledWorkspaceIsKept)
+{
+    RateGate gate;
+    gate.update(configuration(5, 5), {.own = {{"w", 0.01}}, .region = {{"w", 1}}, .daemons = 82}, Start);
+    ASSERT_TRUE(gate.isPooled("w"));
+    EXPECT_FALSE(gate.tryTakeReturned("w"));
+    gate.giveBack("w");
+    gate.giveBack("w");
+    EXPECT_TRUE(gate.tryTakeReturned("w"));
+    EXPECT_FALSE(gate.tryTakeReturned("w"));
+}
+
 // Guards against a workspace that outlives its removal from the configuration.
 TEST(RateGate, RemovedWorkspaceMayNotStartAnything)
 {
--- /dev/null
+++ b/tests/gateway/test_ratepools.cpp
@@ -0,0 +1,121 @@
+#include "gateway/rategate.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <random>
+#include <vector>
+
+namespace endiveshore::gateway {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr core::TimePoint Start = core::TimePoint(1'000s);
+constexpr core::Milliseconds Step{5};
+constexpr core::Milliseconds Time{60'000};
+constexpr core::Milliseconds CallerPatience{250}; ///< Time that an operation waits for its rate.
+constexpr core::Milliseconds Window{5'000};
+/// What the platform tolerates above rate and burst in one window.
+constexpr double Tolerance = 0.1;
+constexpr double Slack = 20;
+constexpr std::size_t Daemons = 82;
+/// Part of the operations inside the rate that callers must get.
+constexpr double ServedPart = 0.99;
+
+struct PoolLoad
+{
+    limits::ShareLimits limits;
+    double factor = 1; ///< Wanted operations over the rate.
+    std::size_t regions = 2; ///< Of equal size.
+};
+
+struct PoolResult
+{
+    double owed = 0; ///< Operations that one bucket for all daemons would have started at once.
+    double served = 0;
+    double mostInWindow = 0;
+};
+
+/// Plays operations that arrive at random at the regions' pools and wait a moment for their turn.
+PoolResult playPools(const PoolLoad &load, std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    Configuration configuration;
+    configuration.workspaces.emplace("w", Workspace{.name = "w", .limits = load.limits});
+    const DaemonShares shares{.own = {{"w", 1.0 / Daemons}},
+                              .region = {{"w", 1.0 / static_cast<double>(load.regions)}},
+                              .daemons = Daemons,
+                              .regions = load.regions};
+    std::vector<RateGate> pools(load.regions);
+    for (RateGate &pool : pools) {
+        pool.update(configuration, shares, Start);
+    }
+    limits::TokenBucket whole(load.limits, Start);
+    std::vector<std::deque<core::TimePoint>> waiting(load.regions);
+    std::deque<core::TimePoint> spent;
+    std::poisson_distribution<int> arrivals(load.limits.ratePerSecond * load.factor
+                                            * std::chrono::duration<double>(Step).count());
+    std::uniform_int_distribution<std::size_t> region(0, load.regions - 1);
+    PoolResult result;
+    for (core::TimePoint now = Start; now < Start + Time; now += Step) {
+        for (int count = arrivals(random); count > 0; --count) {
+            result.owed += whole.tryTake(1, now) ? 1 : 0;
+            waiting[region(random)].push_back(now);
+        }
+        for (std::size_t index = 0; index < load.regions; ++index) {
+            while (!waiting[index].empty() && waiting[index].front() < now - CallerPatience) {
+                waiting[index].pop_front();
+            }
+            while (!waiting[index].empty() && pools[index].takeFromPool("w", now).granted) {
+                waiting[index].pop_front();
+                spent.push_back(now);
+                ++result.served;
+            }
+        }
+        while (!spent.empty() && spent.front() <= now - Window) {
+            spent.pop_front();
+        }
+        result.mostInWindow = std::max(result.mostInWindow, static_cast<double>(spent.size()));
+    }
+    return result;
+}
+
+double allowed(const limits::ShareLimits &limits)
+{
+    const double window = std::chrono::duration<double>(Window).count();
+    return (limits.ratePerSecond * window + limits.burst) * (1 + Tolerance) + Slack;
+}
+
+}
+
+// Load: workspaces of different size ask pools of two and of three regions for 0.8 to 2 times their rate, for one
+// minute. Guards against a part of the rate that no pool gives out, against operations that are refused because the
+// burst is split, and against more than the platform tolerates.
+TEST(RatePools, CallersInsideTheRateAreServed)
+{
+    const std::vector<PoolLoad> loads{
+        {.limits = {.ratePerSecond = 38, .burst = 38}, .factor = 2},
+        {.limits = {.ratePerSecond = 38, .burst = 38}, .factor = 1},
+        {.limits = {.ratePerSecond = 10, .burst = 10}, .factor = 0.9},
+        {.limits = {.ratePerSecond = 4, .burst = 4}, .factor = 0.8},
+        {.limits = {.ratePerSecond = 4, .burst = 4}, .factor = 0.8, .regions = 3},
+        {.limits = {.ratePerSecond = 1, .burst = 2}, .factor = 0.8, .regions = 3},
+    };
+    for (const PoolLoad &load : loads) {
+        PoolResult sum;
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            const PoolResult result = playPools(load, seed);
+            EXPECT_LE(result.mostInWindow, allowed(load.limits)) << load.limits.ratePerSecond << ' ' << seed;
+            sum.owed += result.owed;
+            sum.served += result.served;
+        }
+        EXPECT_GE(sum.served, ServedPart * sum.owed)
+            << load.limits.ratePerSecond << "/s, " << load.factor << " times, " << load.regions
+            << " regions: " << sum.served << " of " << sum.owed;
+    }
+}
+
+}
