--- a/gateway/gatewaydaemon.h
+++ b/gateway/gatewaydaemon.h
@@ -82,6 +82,7 @@
     core::TimePoint fleetStoreContact() const;
     bool isRelay() const;
     std::vector<std::string> metadataPeers() const;
+    std::vector<std::string> configuredSeeds() const;
     void addHomes(GatewayView &view) const;
 
     /// What a daemon's key in the metadata store says of it.
--- /dev/null
+++ b/gateway/gatewaymetadata.cpp
@@ -0,0 +1,164 @@
+#include "gateway/gatewaydaemon.h"
+
+#include "core/hashing.h"
+#include "core/json.h"
+#include "gateway/relaychoice.h"
+
+#include <algorithm>
+
+namespace endiveshore::gateway {
+
+namespace json = boost::json;
+
+namespace {
+
+/// A daemon that has not reported for this long does not relay.
+constexpr std::chrono::milliseconds RelayReportLife{1'200};
+/// A relay whose watch has said nothing for this long takes changes from others without waiting for it.
+constexpr std::chrono::milliseconds MetadataSilence{10'000};
+/// Between attempts to reach the metadata store, varied by half in both directions.
+constexpr std::chrono::milliseconds MetadataRetry{300};
+
+}
+
+void GatewayDaemon::startMetadata()
+{
+    const net::Executor executor = this->context.get_executor();
+    const MetadataFormat &format = this->adapter.format;
+    this->source = std::make_shared<MetadataSource>(
+        executor,
+        this->store,
+        std::vector<std::string>{format.configurationKey, format.serverPrefix, std::string(OwnKeyPrefix)},
+        this->log);
+    daemon::ConfigurationCallbacks callbacks;
+    callbacks.isRelay = [this] { return this->isRelay(); };
+    callbacks.peers = [this] { return this->metadataPeers(); };
+    callbacks.isNear = [this](std::string_view daemon) {
+        const auto peer = this->view->daemons.find(daemon);
+        return peer != this->view->daemons.end()
+            && this->view->regionOf(peer->second.dataCentre) == this->adapter.deployment.region;
+    };
+    callbacks.exchange = [this](std::string daemon, json::object request) {
+        return this->exchangeMetadata(std::move(daemon), std::move(request));
+    };
+    callbacks.revisionRaised = [this](const confsync::EntryStore &entries) { this->applyMetadata(entries); };
+    daemon::ConfigurationOptions options;
+    options.watchSilence = MetadataSilence;
+    options.retryInterval = MetadataRetry;
+    options.seed = core::stableHash(this->adapter.deployment.daemonId);
+    this->metadata = std::make_shared<daemon::ConfigurationService>(
+        executor, this->source, std::move(options), std::move(callbacks));
+    this->metadata->start();
+}
+
+bool GatewayDaemon::isRelay() const
+{
+    const Deployment &deployment = this->adapter.deployment;
+    std::vector<RelayCandidate> candidates;
+    candidates.push_back(
+        {.id = deployment.daemonId, .processorShare = deployment.processorShare, .storeAge = this->storeAge()});
+    const core::TimePoint now = core::Clock::now();
+    for (const PeerDaemon *const colleague : this->colleagues()) {
+        const auto reported = this->reportedAt.find(colleague->id);
+        const bool isHeard = reported != this->reportedAt.end() && now - reported->second < RelayReportLife;
+        if (!isHeard || colleague->isSuspect || this->leavingDaemons.contains(colleague->id)) {
+            continue;
+        }
+        const auto age = std::chrono::duration_cast<core::Milliseconds>(now - reported->second);
+        candidates.push_back({.id = colleague->id,
+                              .processorShare = colleague->processorShare,
+                              .storeAge = this->storeAges.at(colleague->id) + age});
+    }
+    const std::vector<std::string> relays = chooseRelays(deployment.dataCentre, candidates);
+    return std::ranges::find(relays, deployment.daemonId) != relays.end();
+}
+
+std::vector<std::string> GatewayDaemon::metadataPeers() const
+{
+    std::vector<std::pair<int, std::string>> ranked;
+    for (const auto &[id, daemon] : this->view->daemons) {
+        if (id == this->adapter.deployment.daemonId || daemon.isSuspect) {
+            continue;
+        }
+        const bool isColleague = daemon.dataCentre == this->adapter.deployment.dataCentre;
+        const bool isNear = this->view->regionOf(daemon.dataCentre) == this->adapter.deployment.region;
+        ranked.emplace_back(isColleague ? 0 : isNear ? 1 : 2, id);
+    }
+    std::ranges::sort(ranked);
+    std::vector<std::string> peers;
+    for (auto &[rank, id] : ranked) {
+        peers.push_back(std::move(id));
+    }
+    return peers;
+}
+
+void GatewayDaemon::applyMetadata(const confsync::EntryStore &entries)
+{
+    const std::shared_ptr<const Configuration> before = this->mirror.configuration();
+    this->metadataSnapshot = std::make_shared<const confsync::EntryStore>(entries);
+    this->mirror.apply(entries, core::Clock::now());
+    this->lease->onStoreRead();
+    this->scheduleView();
+    if (this->mirror.configuration() != before) {
+        this->sendReport();
+    }
+}
+
+void GatewayDaemon::applyOwnEntry(const OwnEntry &item)
+{
+    if (item.key == DaemonLease::dutyKey()) {
+        this->lease->onDutyEntry(item);
+        return;
+    }
+    const std::string prefix = DaemonLease::registrationPrefix();
+    if (!item.key.starts_with(prefix)) {
+        return;
+    }
+    const std::string id = item.key.substr(prefix.size());
+    if (item.isRemoved) {
+        this->registered.erase(id);
+        return;
+    }
+    boost::system::error_code error;
+    const json::value value = json::parse(item.value, error);
+    if (error || !value.is_object()) {
+        this->log.line("registration_unreadable", telemetry::LogLevel::Warning)
+            .field("peer", id)
+            .field("reason", "not a JSON object");
+        return;
+    }
+    const json::object &entry = value.as_object();
+    this->registered.insert_or_assign(id,
+                                      Registration{.address = core::jsonString(entry, "address"),
+                                                   .dataCentre = core::jsonString(entry, "data_centre")});
+    this->processorShares[id] = core::jsonNumber(entry, "processor_share");
+    std::vector<std::string> seeds = this->configuredSeeds();
+    seeds.push_back(core::jsonString(entry, "address"));
+    this->gossip->setSeeds(std::move(seeds));
+    this->scheduleView();
+}
+
+void GatewayDaemon::applyServers()
+{
+    for (const auto &[id, server] : this->mirror.servers()) {
+        this->primaries.reportRole(server.service, id, server.claimsPrimary, server.revision);
+    }
+    for (const auto &[id, server] : this->view->servers) {
+        if (!this->mirror.servers().contains(id)) {
+            this->primaries.remove(server.service, id);
+        }
+    }
+    this->publishView();
+}
+
+bool GatewayDaemon::applyPromotion(const std::string &service, const std::string &server, std::uint64_t fence)
+{
+    if (!this->primaries.promoted(service, server, fence)) {
+        return false;
+    }
+    this->log.line("primary_changed").field("service", service).field("server", server).field("fence", fence);
+    this->publishView();
+    return true;
+}
+
+}
