--- a/gateway/relaychoice.cpp
+++ b/gateway/relaychoice.cpp
@@ -37,12 +37,13 @@
     if (usable.empty()) {
         return idsOf(candidates);
     }
-    const auto weak = std::ranges::stable_partition(usable, [largestShare](const RelayCandidate &candidate) {
+    const auto isStrong = [largestShare](const RelayCandidate &candidate) {
         return candidate.processorShare >= StrongPart * largestShare;
-    });
+    };
+    const auto firstWeak = std::stable_partition(usable.begin(), usable.end(), isStrong);
     const std::string key = "relay/" + std::string(dataCentre);
     const std::span<const RelayCandidate> all(usable);
-    const std::size_t strongCount = usable.size() - weak.size();
+    const auto strongCount = static_cast<std::size_t>(firstWeak - usable.begin());
     std::vector<std::string> relays = core::rendezvousOrder(key, idsOf(all.first(strongCount)));
     const std::vector<std::string> rest = core::rendezvousOrder(key, idsOf(all.subspan(strongCount)));
     relays.insert(relays.end(), rest.begin(), rest.end());
