Book operations at the rate pool instead of asking again

The logs could not show whether 4,424 refusals over rate were right, so the daemon that keeps a pool now logs rate_pool_used_up. Its first lines showed 5,000 to 9,000 refused questions a second at each of two pools that granted 254 operations a second: an operation that waited asked again every 8 ms, was served by chance, and learnt of its refusal only at the end of its wait.

Now the pool books the turn of an operation if that comes within 400 ms, and refuses it at once otherwise; a daemon's own share works the same way. Turns come in the order of asking.

Ruled out: shares that lag behind demand (both pools together held the whole rate at all times).

Tests that failed before: RateClientTest.AnOperationAsksOnceAndKnowsItsTurn (100 operations asked 570 times, refusals after 252 ms); RatePools.KindsOfRoutesShareARateThatIsUsedUp (see below). TokenBucket has three tests for bookings. The simulation in test_ratepools.cpp counts starts at their booked time; its bounds are unchanged.

Tried and dropped: a longest wait of a fifth of each route's objective.

--- a/gateway/callersession.cpp
+++ b/gateway/callersession.cpp
@@ -30,8 +30,6 @@
 constexpr std::size_t MaxLineBytes = 1024 * 1024; ///< Largest message of the wire protocol.
 /// A caller that does not take bytes for this long is gone.
 constexpr int UserTimeoutMs = 10'000;
-/// Part of the latency objective that an operation may wait for its workspace's rate.
-constexpr int RateWaitPart = 5;
 /// Operations on open routes without a known key are accounted under this workspace.
 constexpr std::string_view OpenWorkspace = "public";
 constexpr std::chrono::milliseconds RollbackLimit{500};
@@ -218,7 +216,7 @@
     if (!this->context->view->configuration->workspaces.contains(operation.workspace)) {
         co_return std::nullopt;
     }
-    const core::TimePoint waitUntil = this->receivedAt + operation.route.latencyObjective / RateWaitPart;
+    const core::TimePoint waitUntil = this->receivedAt + longestRateWait(operation.route.latencyObjective);
     const bool admitted = co_await this->context->rates->acquire(operation.workspace, waitUntil);
     co_return admitted ? std::nullopt : std::optional(CallerError::OverRate);
 }
--- a/gateway/rateclient.cpp
+++ b/gateway/rateclient.cpp
@@ -19,6 +19,15 @@
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 /// The pool of a workspace is in the same region, a few ms away.
 constexpr std::chrono::milliseconds PoolTimeout{250};
+/// Between attempts to reach the pool of a workspace.
+constexpr std::chrono::milliseconds PoolRetry{100};
+/// Between looks at a share that is not known yet. Shares follow the configuration within a few ms.
+constexpr std::chrono::milliseconds ShareRetry{10};
+
+core::Duration timeLeft(core::TimePoint until)
+{
+    return std::max<core::Duration>(until - core::Clock::now(), core::Duration::zero());
+}
 
 }
 
@@ -47,50 +56,57 @@
         if (isPooled && this->rates.tryTakeReturned(workspace)) {
             co_return true;
         }
-        PoolAnswer answer;
-        if (isPooled) {
-            const core::Duration left = waitUntil - core::Clock::now();
-            answer = co_await this->askPool(workspace, std::clamp<core::Duration>(left, {}, PoolTimeout));
+        const RateAnswer answer = isPooled ? co_await this->askPool(workspace, waitUntil)
+                                           : this->rates.book(workspace, timeLeft(waitUntil), core::Clock::now());
+        if (answer.isKnown && !answer.startAfter) {
+            co_return false;
         }
         // The own share of a pooled workspace is all there is while its pool cannot be reached.
-        if (answer.granted || (!answer.isReached && this->rates.tryTake(workspace, core::Clock::now()))) {
+        const bool isBridged = isPooled && !answer.isKnown
+            && this->rates.book(workspace, core::Duration::zero(), core::Clock::now()).startAfter.has_value();
+        if (isBridged) {
             co_return true;
         }
-        core::Duration wait = answer.retryAfter;
-        if (!answer.isReached) {
-            const core::Duration untilOwn = this->rates.timeUntilNext(workspace, core::Clock::now());
-            wait = isPooled ? std::min(untilOwn, wait) : untilOwn;
-        }
-        if (wait > waitUntil - core::Clock::now()) {
+        const core::Duration wait = answer.startAfter.value_or(isPooled ? PoolRetry : ShareRetry);
+        if (!answer.isKnown && wait > timeLeft(waitUntil)) {
             co_return false;
         }
-        asio::steady_timer pause(this->executor, wait);
-        co_await pause.async_wait(UseTuple);
+        if (wait > core::Duration::zero()) {
+            asio::steady_timer pause(this->executor, wait);
+            co_await pause.async_wait(UseTuple);
+        }
+        if (answer.isKnown) {
+            co_return true;
+        }
     }
 }
 
-net::awaitable<PoolAnswer> RateClient::askPool(std::string workspace, core::Duration timeout)
+net::awaitable<RateAnswer> RateClient::askPool(std::string workspace, core::TimePoint waitUntil)
 {
     const std::string home = this->view->rateHome(workspace);
+    const core::Duration longestWait = timeLeft(waitUntil);
     if (home == this->daemonId) {
-        co_return this->rates.takeFromPool(workspace, core::Clock::now());
+        co_return this->rates.bookFromPool(workspace, longestWait, core::Clock::now());
     }
-    PoolAnswer refused;
     const auto peer = this->view->daemons.find(home);
-    if (peer == this->view->daemons.end() || timeout <= core::Duration::zero()) {
-        co_return refused;
+    if (peer == this->view->daemons.end() || longestWait == core::Duration::zero()) {
+        co_return RateAnswer();
     }
     const net::TcpEndpoint endpoint = peer->second.endpoint;
-    net::HttpRequest request = net::jsonRequest(RatePath, json::object{{"w", workspace}});
+    net::HttpRequest request
+        = net::jsonRequest(RatePath, json::object{{"w", workspace}, {"m", core::toMilliseconds(longestWait)}});
     try {
-        const net::HttpResponse response = co_await this->peers.exchange(endpoint, std::move(request), timeout);
+        const net::HttpResponse response = co_await this->peers.exchange(
+            endpoint, std::move(request), std::min<core::Duration>(longestWait, PoolTimeout));
         const json::object body = core::valueOrThrow([&response] { return core::parseJsonObject(response.body); });
-        co_return PoolAnswer{.isReached = core::jsonBool(body, "k"),
-                             .granted = core::jsonBool(body, "g"),
-                             .retryAfter = core::Milliseconds(core::jsonInteger(body, "r"))};
+        RateAnswer answer{.isKnown = core::jsonBool(body, "k"), .startAfter = {}};
+        if (core::jsonBool(body, "g")) {
+            answer.startAfter = core::Milliseconds(core::jsonInteger(body, "r"));
+        }
+        co_return answer;
     } catch (const core::Error &) {
         // The view names another home as soon as the loss of this one is known; until then the own share serves.
-        co_return refused;
+        co_return RateAnswer();
     }
 }
 
@@ -101,8 +117,11 @@
 
 json::object RateClient::serve(const json::object &request)
 {
-    const PoolAnswer answer = this->rates.takeFromPool(core::jsonString(request, "w"), core::Clock::now());
-    return {{"k", answer.isReached}, {"g", answer.granted}, {"r", answer.retryAfter.count()}};
+    const core::Milliseconds longestWait(core::jsonInteger(request, "m"));
+    const RateAnswer answer = this->rates.bookFromPool(core::jsonString(request, "w"), longestWait, core::Clock::now());
+    return {{"k", answer.isKnown},
+            {"g", answer.startAfter.has_value()},
+            {"r", core::toMilliseconds(answer.startAfter.value_or(core::Duration::zero()))}};
 }
 
 }
--- a/gateway/rateclient.h
+++ b/gateway/rateclient.h
@@ -25,7 +25,7 @@
 
     RateGate &gate();
 
-    /// Spends one operation of @p workspace; waits for it until @p waitUntil. False if there is none by then.
+    /// Books one operation of @p workspace and waits for its turn. False, at once, if that comes after @p waitUntil.
     net::awaitable<bool> acquire(std::string workspace, core::TimePoint waitUntil);
 
     /// Returns an operation that no server has run. It serves the next one of the workspace at this daemon.
@@ -35,7 +35,7 @@
     boost::json::object serve(const boost::json::object &request);
 
 private:
-    net::awaitable<PoolAnswer> askPool(std::string workspace, core::Duration timeout);
+    net::awaitable<RateAnswer> askPool(std::string workspace, core::TimePoint waitUntil);
 
     net::Executor executor;
     std::string daemonId;
--- a/gateway/rategate.cpp
+++ b/gateway/rategate.cpp
@@ -9,8 +9,6 @@
 
 /// Below this burst a share could never start an operation.
 constexpr double MinimumBurst = 1;
-/// Shares follow the configuration within a few ms.
-constexpr std::chrono::milliseconds ShareRetry{10};
 /// Operations that a daemon's even share of the burst must hold. With fewer, callers that come by chance at the same
 /// moment are refused although their workspace is inside its rate.
 constexpr double MinimumOwnBurst = 6;
@@ -36,6 +34,13 @@
 
 }
 
+core::Duration longestRateWait(core::Duration latencyObjective)
+{
+    // The same for most routes: those that may wait less would get nothing while others keep the queue longer.
+    constexpr core::Duration CommonWait = std::chrono::milliseconds(400);
+    return std::min(CommonWait, latencyObjective / 2);
+}
+
 void RateGate::setBucket(Buckets &buckets,
                          const std::string &workspace,
                          limits::ShareLimits limits,
@@ -55,6 +60,7 @@
     const auto isRemoved = [&](const auto &entry) { return !configuration.workspaces.contains(entry.first); };
     std::erase_if(this->buckets, isRemoved);
     std::erase_if(this->pools, isRemoved);
+    std::erase_if(this->poolUse, isRemoved);
     std::erase_if(this->returned, [&](const std::string &name) { return !configuration.workspaces.contains(name); });
     this->awaitingShare.clear();
     for (const auto &[name, workspace] : configuration.workspaces) {
@@ -76,6 +82,7 @@
             pool.burst += SpareOperations / static_cast<double>(shares.regions);
         }
         setBucket(this->pools, name, pool, now);
+        this->poolUse[name].limits = pool;
         const double bridge = BridgePart / static_cast<double>(shares.daemons);
         setBucket(this->buckets, name, {.ratePerSecond = whole.ratePerSecond * bridge, .burst = MinimumBurst}, now);
     }
@@ -86,20 +93,29 @@
     return this->pools.contains(workspace);
 }
 
-PoolAnswer RateGate::takeFromPool(std::string_view workspace, core::TimePoint now)
+RateAnswer RateGate::bookFromPool(std::string_view workspace, core::Duration longestWait, core::TimePoint now)
 {
     const auto pool = this->pools.find(workspace);
     if (pool == this->pools.end()) {
         return {};
     }
-    if (pool->second.tryTake(1, now)) {
-        return {.isReached = true, .granted = true, .retryAfter = {}};
+    const RateAnswer answer{.isKnown = true, .startAfter = pool->second.book(1, longestWait, now)};
+    PoolUse &use = this->poolUse[pool->first];
+    ++(answer.startAfter ? use.granted : use.refused);
+    return answer;
+}
+
+std::map<std::string, PoolUse, std::less<>> RateGate::takeUsedUpPools()
+{
+    std::map<std::string, PoolUse, std::less<>> usedUp;
+    for (auto &[name, use] : this->poolUse) {
+        if (use.refused > 0) {
+            usedUp.emplace(name, use);
+        }
+        use.granted = 0;
+        use.refused = 0;
     }
-    const core::Duration wait = pool->second.timeUntil(1, now);
-    constexpr std::chrono::seconds LongestRetry{1};
-    return {.isReached = true,
-            .retryAfter = std::chrono::duration_cast<core::Milliseconds>(std::min<core::Duration>(wait, LongestRetry))
-                + core::Milliseconds(1)};
+    return usedUp;
 }
 
 void RateGate::countDemand(const std::string &workspace)
@@ -107,10 +123,16 @@
     ++this->wanted[workspace];
 }
 
-bool RateGate::tryTake(std::string_view workspace, core::TimePoint now)
+RateAnswer RateGate::book(std::string_view workspace, core::Duration longestWait, core::TimePoint now)
 {
+    if (this->awaitingShare.contains(workspace)) {
+        return {};
+    }
     const auto bucket = this->buckets.find(workspace);
-    return bucket != this->buckets.end() && bucket->second.tryTake(1, now);
+    if (bucket == this->buckets.end()) {
+        return {.isKnown = true, .startAfter = {}};
+    }
+    return {.isKnown = true, .startAfter = bucket->second.book(1, longestWait, now)};
 }
 
 bool RateGate::tryTakeReturned(std::string_view workspace)
@@ -135,15 +157,6 @@
     }
 }
 
-core::Duration RateGate::timeUntilNext(std::string_view workspace, core::TimePoint now)
-{
-    if (this->awaitingShare.contains(workspace)) {
-        return ShareRetry;
-    }
-    const auto bucket = this->buckets.find(workspace);
-    return bucket == this->buckets.end() ? core::Duration::max() : bucket->second.timeUntil(1, now);
-}
-
 double RateGate::tokens(std::string_view workspace, core::TimePoint now)
 {
     const auto bucket = this->buckets.find(workspace);
--- a/gateway/rategate.h
+++ b/gateway/rategate.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -14,14 +15,24 @@
 /// Part of each workspace's rate that this daemon may spend, from 0 to 1.
 using RateShares = std::map<std::string, double, std::less<>>;
 
-/// Answer of a workspace's regional pool.
-struct PoolAnswer
+/// Answer to an operation that asks for its part of a workspace's rate.
+struct RateAnswer
 {
-    bool isReached = false; ///< False if the pool gave no answer.
-    bool granted = false;
-    core::Milliseconds retryAfter{100}; ///< If not granted: when the pool may have an operation again.
+    bool isKnown = false; ///< False if nobody could tell: the share is not known yet, or the pool gave no answer.
+    std::optional<core::Duration> startAfter; ///< Time until the operation may start; nothing if it is refused.
 };
 
+/// What a pool has answered since it was last asked for its use.
+struct PoolUse
+{
+    limits::ShareLimits limits;
+    std::uint64_t granted = 0;
+    std::uint64_t refused = 0;
+};
+
+/// Time that an operation of a route with @p latencyObjective may wait for its turn.
+core::Duration longestRateWait(core::Duration latencyObjective);
+
 /// Shares of one daemon.
 struct DaemonShares
 {
@@ -44,14 +55,17 @@
     /// then pooled by region, and a daemon's own bucket only bridges the loss of the pool.
     bool isPooled(std::string_view workspace) const;
 
-    /// Spends one operation of the pool that this daemon keeps for its region.
-    PoolAnswer takeFromPool(std::string_view workspace, core::TimePoint now);
+    /// Books one operation of the pool that this daemon keeps for its region, if its turn comes within @p longestWait.
+    RateAnswer bookFromPool(std::string_view workspace, core::Duration longestWait, core::TimePoint now);
+
+    /// Use since the last call of the pools that refused, by workspace.
+    std::map<std::string, PoolUse, std::less<>> takeUsedUpPools();
 
-    /// Counts an operation as wanted. To be called once for each operation before tryTake().
+    /// Counts an operation as wanted. To be called once for each operation before book().
     void countDemand(const std::string &workspace);
 
-    /// Spends one operation of this daemon's own share; false if the share is used up.
-    bool tryTake(std::string_view workspace, core::TimePoint now);
+    /// Books one operation of this daemon's own share, if its turn comes within @p longestWait.
+    RateAnswer book(std::string_view workspace, core::Duration longestWait, core::TimePoint now);
 
     /// Returns an operation that was allowed and that no server has run. Of a pooled workspace, one is kept.
     void giveBack(std::string_view workspace);
@@ -59,10 +73,8 @@
     /// Spends an operation of a pooled workspace that was given back; false if there is none.
     bool tryTakeReturned(std::string_view workspace);
 
-    /// Time until the next operation of @p workspace is allowed, or until asking again while its share is not known.
-    core::Duration timeUntilNext(std::string_view workspace, core::TimePoint now);
-
-    /// Operations that @p workspace may start now, and the part of its rate that this daemon may spend.
+    /// Operations that @p workspace may start now, below zero while booked ones are still to start; and the part of its
+    /// rate that this daemon may spend.
     double tokens(std::string_view workspace, core::TimePoint now);
     double share(std::string_view workspace) const;
 
@@ -77,6 +89,7 @@
 
     Buckets buckets;
     Buckets pools; ///< Of pooled workspaces; used if this daemon is asked for them.
+    std::map<std::string, PoolUse, std::less<>> poolUse;
     RateShares currentShares;
     std::set<std::string, std::less<>> awaitingShare; ///< Configured workspaces whose share is not known yet.
     std::map<std::string, std::uint64_t, std::less<>> wanted;
--- a/gateway/trafficcore.cpp
+++ b/gateway/trafficcore.cpp
@@ -20,6 +20,8 @@
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds TickInterval{25};
+/// Between log lines on a pool of a workspace's rate that is used up.
+constexpr std::chrono::milliseconds PoolLogInterval{1'000};
 constexpr int StatusOk = 200;
 
 WorkRouterOptions routerOptions(const TrafficCoreOptions &options, const net::Executor &executor)
@@ -60,6 +62,7 @@
     this->peerServer->listen(this->context.get_executor(), this->options.deployment.peerListen);
     asio::co_spawn(this->context, this->acceptLoop(), asio::detached);
     asio::co_spawn(this->context, this->tickLoop(), asio::detached);
+    asio::co_spawn(this->context, this->logPoolsLoop(), asio::detached);
     this->thread = std::thread([this] { this->context.run(); });
 }
 
@@ -115,6 +118,26 @@
     }
 }
 
+net::awaitable<void> TrafficCore::logPoolsLoop()
+{
+    asio::steady_timer timer(this->context);
+    while (true) {
+        timer.expires_after(PoolLogInterval);
+        auto [error] = co_await timer.async_wait(UseTuple);
+        if (error) {
+            co_return;
+        }
+        for (const auto &[workspace, use] : this->rates.gate().takeUsedUpPools()) {
+            this->options.log->line("rate_pool_used_up")
+                .field("workspace", workspace)
+                .field("rate_per_s", use.limits.ratePerSecond)
+                .field("burst", use.limits.burst)
+                .field("granted", use.granted)
+                .field("refused", use.refused);
+        }
+    }
+}
+
 net::awaitable<net::HttpResponse> TrafficCore::servePeer(net::HttpRequest request)
 {
     if (request.target == MetadataPath) {
--- a/gateway/trafficcore.h
+++ b/gateway/trafficcore.h
@@ -64,6 +64,7 @@
 private:
     net::awaitable<void> acceptLoop();
     net::awaitable<void> tickLoop();
+    net::awaitable<void> logPoolsLoop();
     net::awaitable<net::HttpResponse> servePeer(net::HttpRequest request);
     boost::json::object answerMetadata(const net::HttpRequest &request) const;
     void updateRates();
--- a/limits/tokenbucket.cpp
+++ b/limits/tokenbucket.cpp
@@ -21,6 +21,16 @@
     return true;
 }
 
+std::optional<core::Duration> TokenBucket::book(double wanted, core::Duration longestWait, core::TimePoint now)
+{
+    const core::Duration wait = this->timeUntil(wanted, now);
+    if (wait > longestWait) {
+        return std::nullopt;
+    }
+    this->tokens -= wanted;
+    return wait;
+}
+
 void TokenBucket::giveBack(double returned)
 {
     this->tokens = std::min(this->limits.burst, this->tokens + returned);
--- a/limits/tokenbucket.h
+++ b/limits/tokenbucket.h
@@ -2,6 +2,8 @@
 
 #include "core/time.h"
 
+#include <optional>
+
 /// Rate limits of workspaces: token bucket, and the protocol by which one allocator lends its tokens to all daemons.
 namespace endiveshore::limits {
 
@@ -23,6 +25,11 @@
     /// Takes @p tokens if all of them are there.
     bool tryTake(double tokens, core::TimePoint now);
 
+    /// Takes @p tokens that are there within @p longestWait and returns the time until then; nothing if that is longer.
+    /// Tokens that are not there yet are owed: those that come next are nobody else's, so bookings are served in their
+    /// order.
+    std::optional<core::Duration> book(double tokens, core::Duration longestWait, core::TimePoint now);
+
     /// Returns @p tokens that were taken and not used; those above the burst are dropped.
     void giveBack(double tokens);
 
@@ -32,6 +39,7 @@
     /// Changes the limits; tokens above the new burst are dropped.
     void setLimits(ShareLimits limits, core::TimePoint now);
 
+    /// Below zero while booked tokens are still to come.
     double level(core::TimePoint now);
 
 private:
--- a/tests/gateway/test_rateclient.cpp
+++ b/tests/gateway/test_rateclient.cpp
@@ -1,6 +1,7 @@
 #include "gateway/rateclient.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/use_future.hpp>
 
@@ -8,6 +9,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <vector>
+
 namespace endiveshore::gateway {
 
 using namespace std::chrono_literals;
@@ -20,13 +24,14 @@
 class RateClientTest : public ::testing::Test
 {
 protected:
-    void useHome(const std::string &home)
+    void useHome(const std::string &home, double rate = 1)
     {
         auto view = std::make_shared<GatewayView>();
         view->rateHomes = {home};
         this->client.setView(view);
         Configuration configuration;
-        configuration.workspaces.emplace("w", Workspace{.name = "w", .limits = {.ratePerSecond = 1, .burst = Burst}});
+        configuration.workspaces.emplace("w",
+                                         Workspace{.name = "w", .limits = {.ratePerSecond = rate, .burst = Burst}});
         this->client.gate().update(
             configuration, {.own = {{"w", 0.01}}, .region = {{"w", 1}}, .daemons = 82}, core::Clock::now());
     }
@@ -40,6 +45,30 @@
         return result.get();
     }
 
+    struct Outcome
+    {
+        std::size_t asked = 0; ///< Place in the order of asking.
+        bool admitted = false;
+        core::Duration after{};
+    };
+
+    /// Outcomes of @p count operations that ask at the same moment, in the order in which they end.
+    std::vector<Outcome> acquireTogether(std::size_t count, core::Milliseconds patience)
+    {
+        std::vector<Outcome> outcomes;
+        const core::TimePoint start = core::Clock::now();
+        const auto ask = [&](std::size_t place) -> net::awaitable<void> {
+            const bool admitted = co_await this->client.acquire("w", start + patience);
+            outcomes.push_back({.asked = place, .admitted = admitted, .after = core::Clock::now() - start});
+        };
+        for (std::size_t place = 0; place < count; ++place) {
+            boost::asio::co_spawn(this->context, ask(place), boost::asio::detached);
+        }
+        this->context.restart();
+        this->context.run();
+        return outcomes;
+    }
+
     boost::asio::io_context context{1};
     net::PeerClient peers{this->context.get_executor()};
     RateClient client{this->context.get_executor(), "d1", peers};
@@ -71,12 +100,39 @@
 TEST_F(RateClientTest, AnAnswerSaysWhetherThereIsAPool)
 {
     this->useHome("d1");
-    const boost::json::object known = this->client.serve({{"w", "w"}});
+    const boost::json::object known = this->client.serve({{"w", "w"}, {"m", 0}});
     EXPECT_TRUE(known.at("k").as_bool());
     EXPECT_TRUE(known.at("g").as_bool());
-    const boost::json::object unknown = this->client.serve({{"w", "other"}});
+    const boost::json::object unknown = this->client.serve({{"w", "other"}, {"m", 0}});
     EXPECT_FALSE(unknown.at("k").as_bool());
     EXPECT_FALSE(unknown.at("g").as_bool());
 }
 
+// Load: one workspace wants many times its rate. Guards against operations that ask the pool again and again while they
+// wait (thousands of messages a second to one daemon), that are served in another order than they came, and that are
+// refused only at the end of their time although their turn could not come.
+TEST_F(RateClientTest, AnOperationAsksOnceAndKnowsItsTurn)
+{
+    constexpr std::size_t Asked = 100;
+    constexpr core::Milliseconds Patience{300};
+    this->useHome("d1", 20);
+    const std::vector<Outcome> outcomes = this->acquireTogether(Asked, Patience);
+    std::vector<std::size_t> admitted;
+    core::Duration longestRefusal{};
+    for (const Outcome &outcome : outcomes) {
+        if (outcome.admitted) {
+            admitted.push_back(outcome.asked);
+            continue;
+        }
+        longestRefusal = std::max(longestRefusal, outcome.after);
+    }
+    // The burst, and what the rate yields in the time.
+    EXPECT_EQ(admitted.size(), 4 + 6 - 1) << "a part of the rate is kept for the loss of the pool";
+    EXPECT_TRUE(std::ranges::is_sorted(admitted));
+    EXPECT_LT(longestRefusal, Patience / 2);
+    const auto usedUp = this->client.gate().takeUsedUpPools();
+    ASSERT_TRUE(usedUp.contains("w"));
+    EXPECT_EQ(usedUp.at("w").granted + usedUp.at("w").refused, Asked);
+}
+
 }
--- a/tests/gateway/test_ratefleet.cpp
+++ b/tests/gateway/test_ratefleet.cpp
@@ -128,7 +128,7 @@
         std::poisson_distribution<int> arrivals(this->wanted[index] * std::chrono::duration<double>(Step).count());
         for (int count = arrivals(this->random); count > 0; --count) {
             ++daemon.wantedSinceReport;
-            if (daemon.gate.tryTake("w", this->now)) {
+            if (daemon.gate.book("w", core::Duration::zero(), this->now).startAfter) {
                 this->spent.push_back(this->now);
                 ++this->total;
             }
--- a/tests/gateway/test_rategate.cpp
+++ b/tests/gateway/test_rategate.cpp
@@ -17,6 +17,16 @@
     return made;
 }
 
+bool takeNow(RateGate &gate, core::TimePoint now)
+{
+    return gate.book("w", core::Duration::zero(), now).startAfter.has_value();
+}
+
+bool takeFromPoolNow(RateGate &gate)
+{
+    return gate.bookFromPool("w", core::Duration::zero(), Start).startAfter.has_value();
+}
+
 }
 
 // Guards against more operations than this daemon's share of the rate.
@@ -26,7 +36,7 @@
     gate.update(configuration(100, 100), {.own = {{"w", 0.25}}}, Start);
     int taken = 0;
     for (core::Milliseconds time{0}; time < 4s; time += 1ms) {
-        taken += gate.tryTake("w", Start + time) ? 1 : 0;
+        taken += takeNow(gate, Start + time) ? 1 : 0;
     }
     EXPECT_LE(taken, 25 + 4 * 25);
     EXPECT_GE(taken, 25 + 4 * 25 - 2);
@@ -38,11 +48,11 @@
     RateGate gate;
     gate.update(configuration(1, 1), {.own = {{"w", 1}}}, Start);
     for (int attempt = 0; attempt < 10; ++attempt) {
-        ASSERT_TRUE(gate.tryTake("w", Start));
+        ASSERT_TRUE(takeNow(gate, Start));
         gate.giveBack("w");
     }
-    EXPECT_TRUE(gate.tryTake("w", Start));
-    EXPECT_FALSE(gate.tryTake("w", Start));
+    EXPECT_TRUE(takeNow(gate, Start));
+    EXPECT_FALSE(takeNow(gate, Start));
 }
 
 // Guards against an operation of a pooled workspace that no server has run and that is lost to it, or multiplied.
@@ -58,14 +68,35 @@
     EXPECT_FALSE(gate.tryTakeReturned("w"));
 }
 
+// Guards against a refusal over rate whose pool leaves no trace, and against a line on each pool that nobody waits for.
+TEST(RateGate, UsedUpPoolsTellWhatTheyGranted)
+{
+    RateGate gate;
+    gate.update(configuration(5, 5), {.own = {{"w", 0.01}}, .region = {{"w", 1}}, .daemons = 82}, Start);
+    ASSERT_TRUE(takeFromPoolNow(gate));
+    EXPECT_TRUE(gate.takeUsedUpPools().empty());
+    std::uint64_t granted = 0;
+    while (takeFromPoolNow(gate)) {
+        ++granted;
+    }
+    const auto usedUp = gate.takeUsedUpPools();
+    ASSERT_TRUE(usedUp.contains("w"));
+    EXPECT_EQ(usedUp.at("w").granted, granted);
+    EXPECT_EQ(usedUp.at("w").refused, 1);
+    EXPECT_EQ(usedUp.at("w").limits.burst, 5);
+    EXPECT_TRUE(gate.takeUsedUpPools().empty());
+}
+
 // Guards against a workspace that outlives its removal from the configuration.
 TEST(RateGate, RemovedWorkspaceMayNotStartAnything)
 {
     RateGate gate;
     gate.update(configuration(100, 100), {.own = {{"w", 1}}}, Start);
     gate.update(Configuration(), {.own = {{"w", 1}}}, Start);
-    EXPECT_FALSE(gate.tryTake("w", Start));
-    EXPECT_EQ(gate.timeUntilNext("w", Start), core::Duration::max());
+    EXPECT_FALSE(takeNow(gate, Start));
+    const RateAnswer answer = gate.book("w", 24h, Start);
+    EXPECT_TRUE(answer.isKnown);
+    EXPECT_FALSE(answer.startAfter);
 }
 
 // Guards against refusals after a restart: callers return within milliseconds, before the first shares are known, and a
@@ -74,11 +105,11 @@
 {
     RateGate gate;
     gate.update(configuration(100, 100), {}, Start);
-    EXPECT_FALSE(gate.tryTake("w", Start));
-    EXPECT_LE(gate.timeUntilNext("w", Start), 50ms);
+    EXPECT_FALSE(takeNow(gate, Start));
+    EXPECT_FALSE(gate.book("w", 24h, Start).isKnown) << "the share may be known soon";
     gate.update(configuration(100, 100), {.own = {{"w", 0.25}}}, Start + 10ms);
     int taken = 0;
-    while (gate.tryTake("w", Start + 10ms)) {
+    while (takeNow(gate, Start + 10ms)) {
         ++taken;
     }
     EXPECT_EQ(taken, 25);
@@ -89,8 +120,8 @@
 {
     RateGate gate;
     gate.update(configuration(100, 100), {.own = {{"w", 0}}}, Start);
-    EXPECT_FALSE(gate.tryTake("w", Start));
-    EXPECT_FALSE(gate.tryTake("w", Start + 10s));
+    EXPECT_FALSE(takeNow(gate, Start));
+    EXPECT_FALSE(takeNow(gate, Start + 10s));
 }
 
 // Guards against demand that is counted twice or forgotten between two reports.
--- a/tests/gateway/test_ratepools.cpp
+++ b/tests/gateway/test_ratepools.cpp
@@ -3,8 +3,9 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <deque>
+#include <iterator>
 #include <random>
+#include <set>
 #include <vector>
 
 namespace endiveshore::gateway {
@@ -54,8 +55,7 @@
         pool.update(configuration, shares, Start);
     }
     limits::TokenBucket whole(load.limits, Start);
-    std::vector<std::deque<core::TimePoint>> waiting(load.regions);
-    std::deque<core::TimePoint> spent;
+    std::multiset<core::TimePoint> starts;
     std::poisson_distribution<int> arrivals(load.limits.ratePerSecond * load.factor
                                             * std::chrono::duration<double>(Step).count());
     std::uniform_int_distribution<std::size_t> region(0, load.regions - 1);
@@ -63,22 +63,15 @@
     for (core::TimePoint now = Start; now < Start + Time; now += Step) {
         for (int count = arrivals(random); count > 0; --count) {
             result.owed += whole.tryTake(1, now) ? 1 : 0;
-            waiting[region(random)].push_back(now);
-        }
-        for (std::size_t index = 0; index < load.regions; ++index) {
-            while (!waiting[index].empty() && waiting[index].front() < now - CallerPatience) {
-                waiting[index].pop_front();
-            }
-            while (!waiting[index].empty() && pools[index].takeFromPool("w", now).granted) {
-                waiting[index].pop_front();
-                spent.push_back(now);
+            const RateAnswer answer = pools[region(random)].bookFromPool("w", CallerPatience, now);
+            if (answer.startAfter) {
+                starts.insert(now + *answer.startAfter);
                 ++result.served;
             }
         }
-        while (!spent.empty() && spent.front() <= now - Window) {
-            spent.pop_front();
-        }
-        result.mostInWindow = std::max(result.mostInWindow, static_cast<double>(spent.size()));
+        starts.erase(starts.begin(), starts.upper_bound(now - Window));
+        const auto inWindow = std::distance(starts.begin(), starts.upper_bound(now));
+        result.mostInWindow = std::max(result.mostInWindow, static_cast<double>(inWindow));
     }
     return result;
 }
@@ -118,4 +111,35 @@
     }
 }
 
+// Load: a workspace wants twice its rate on three kinds of routes, whose objectives differ. Guards against a kind that
+// gets nothing because operations that may wait longer keep the queue of the pool longer than its own may wait.
+TEST(RatePools, KindsOfRoutesShareARateThatIsUsedUp)
+{
+    constexpr double Rate = 40;
+    const std::vector<core::Milliseconds> objectives{800ms, 1'500ms, 4'000ms};
+    Configuration configuration;
+    configuration.workspaces.emplace("w", Workspace{.name = "w", .limits = {.ratePerSecond = Rate, .burst = Rate}});
+    RateGate pool;
+    pool.update(configuration, {.own = {{"w", 1.0 / Daemons}}, .region = {{"w", 1}}, .daemons = Daemons}, Start);
+    std::mt19937_64 random(7);
+    std::poisson_distribution<int> arrivals(2 * Rate * std::chrono::duration<double>(Step).count());
+    std::uniform_int_distribution<std::size_t> kind(0, objectives.size() - 1);
+    std::vector<double> served(objectives.size());
+    double all = 0;
+    for (core::TimePoint now = Start; now < Start + Time; now += Step) {
+        for (int count = arrivals(random); count > 0; --count) {
+            const std::size_t index = kind(random);
+            if (pool.bookFromPool("w", longestRateWait(objectives[index]), now).startAfter) {
+                ++served[index];
+                ++all;
+            }
+        }
+    }
+    EXPECT_GE(all, ServedPart * Rate * std::chrono::duration<double>(Time).count());
+    const double even = all / static_cast<double>(objectives.size());
+    for (std::size_t index = 0; index < objectives.size(); ++index) {
+        EXPECT_NEAR(served[index], even, 0.1 * even) << objectives[index].count() << " ms";
+    }
+}
+
 }
--- a/tests/limits/test_limits.cpp
+++ b/tests/limits/test_limits.cpp
@@ -141,6 +141,49 @@
     EXPECT_GT(bucket.timeUntil(5, Start + 10s), 300ms);
 }
 
+// Guards against bookings that spend more than the limit in some window, and against turns that come out of order.
+TEST(TokenBucket, BookedTokensComeInTheirOrderAndWithinTheLimit)
+{
+    constexpr auto LongestWait = 300ms;
+    TokenBucket bucket({.ratePerSecond = 10, .burst = 5}, Start);
+    WindowCheck check({.ratePerSecond = 10, .burst = 5});
+    int booked = 0;
+    TimePoint previous = Start;
+    for (int step = 0; step < 1000; ++step) {
+        const TimePoint now = Start + step * 10ms;
+        while (const std::optional<core::Duration> wait = bucket.book(1, LongestWait, now)) {
+            ASSERT_LE(*wait, LongestWait);
+            ASSERT_GE(now + *wait, previous);
+            previous = now + *wait;
+            check.spend(previous);
+            ++booked;
+        }
+    }
+    EXPECT_TRUE(check.held());
+    EXPECT_NEAR(booked, 5 + 100 + 3, 1);
+}
+
+// Guards against a token that is owed to a booking and is taken by an operation that came later.
+TEST(TokenBucket, AnOwedTokenIsNobodyElses)
+{
+    TokenBucket bucket({.ratePerSecond = 10, .burst = 1}, Start);
+    ASSERT_TRUE(bucket.tryTake(1, Start));
+    EXPECT_EQ(bucket.book(1, 100ms, Start), 100ms);
+    EXPECT_FALSE(bucket.tryTake(1, Start + 100ms));
+    EXPECT_FALSE(bucket.book(1, 50ms, Start + 100ms));
+    EXPECT_TRUE(bucket.tryTake(1, Start + 200ms));
+}
+
+// Guards against a lower limit that forgets what is owed.
+TEST(TokenBucket, ChangedLimitsKeepWhatIsOwed)
+{
+    TokenBucket bucket({.ratePerSecond = 10, .burst = 1}, Start);
+    ASSERT_TRUE(bucket.tryTake(1, Start));
+    ASSERT_TRUE(bucket.book(1, 100ms, Start));
+    bucket.setLimits({.ratePerSecond = 5, .burst = 1}, Start);
+    EXPECT_EQ(bucket.timeUntil(1, Start), 400ms);
+}
+
 // Guards against messages that lose a field on the way or crash the receiver.
 TEST(ShareMessage, RoundTrip)
 {
