--- a/gateway/callersession.cpp
+++ b/gateway/callersession.cpp
@@ -3,8 +3,6 @@
 #include "core/error.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -32,7 +30,6 @@
 constexpr int UserTimeoutMs = 10'000;
 /// Operations on open routes without a known key are accounted under this workspace.
 constexpr std::string_view OpenWorkspace = "public";
-constexpr std::chrono::milliseconds RollbackLimit{500};
 /// A daemon that has just started does not know its routes yet; callers give up a start after 2 s.
 constexpr std::chrono::milliseconds StartLimit{1'800};
 constexpr std::chrono::milliseconds StartPause{10};
@@ -193,20 +190,6 @@
     co_return co_await (this->*handler)(std::move(statement));
 }
 
-net::awaitable<CallerReply> CallerSession::begin(Statement statement)
-{
-    if (this->transaction) {
-        co_return this->errorReply(CallerError::Malformed);
-    }
-    Transaction opened{.readOnly = statement.kind == StatementKind::BeginReadOnly};
-    const std::optional<CallerError> refused = co_await this->admit(opened.context);
-    if (refused) {
-        co_return this->errorReply(*refused);
-    }
-    this->transaction = std::move(opened);
-    co_return this->ownReply();
-}
-
 net::awaitable<std::optional<CallerError>> CallerSession::admit(OperationContext &operation)
 {
     const std::optional<CallerError> refused = this->checkAccess(operation);
@@ -268,134 +251,6 @@
     co_return this->reply(outcome.result, writes);
 }
 
-WorkUnit CallerSession::transactionUnit(UnitKind kind, std::string id) const
-{
-    const Transaction &open = *this->transaction;
-    const core::Milliseconds timeout = open.context.route.statementTimeout;
-    return {.kind = kind,
-            .server = open.place.server,
-            .workspace = open.context.workspace,
-            .id = std::move(id),
-            .values = this->values,
-            .lease = open.lease,
-            .urgency = urgencyOf(open.context.route),
-            .queueLimit = timeout,
-            .statementLimit = timeout,
-            .idleLimit = open.context.transactionIdle};
-}
-
-net::awaitable<CallerReply> CallerSession::runInTransaction(WorkUnit unit)
-{
-    Transaction &open = *this->transaction;
-    StatementOutcome outcome;
-    if (open.aborted) {
-        open.failed = true;
-        co_return this->errorReply(CallerError::Aborted);
-    }
-    if (open.lease.empty()) {
-        OperationContext operation = open.context;
-        operation.values = &this->values;
-        operation.sessionPosition = this->position;
-        operation.startedAt = this->receivedAt;
-        unit.kind = UnitKind::OpenTransaction;
-        outcome = co_await this->context->runner->run(std::move(operation), std::move(unit), open.readOnly);
-        open.lease = outcome.result.lease;
-        open.place = outcome.place;
-        this->settleRate(open.context.workspace, outcome.result);
-    } else {
-        WorkUnit next = this->transactionUnit(UnitKind::InTransaction, std::move(unit.id));
-        next.text = std::move(unit.text);
-        next.prepared = std::move(unit.prepared);
-        UnitPlace place = open.place;
-        outcome = co_await this->context->runner->continueTransaction(std::move(place), std::move(next));
-    }
-    const UnitResult &result = outcome.result;
-    open.failed = result.outcome != UnitOutcome::Done || result.transactionFailed;
-    if (result.transactionFailed) {
-        open.lease.clear();
-    }
-    if (result.outcome == UnitOutcome::NotRun || result.outcome == UnitOutcome::Unknown) {
-        const bool neverStarted = open.lease.empty() && !result.transactionFailed;
-        const bool overloaded = neverStarted && result.error == UnitError::QueueFull;
-        co_return this->errorReply(overloaded ? CallerError::Overloaded : CallerError::Aborted);
-    }
-    co_return this->reply(result, true);
-}
-
-net::awaitable<CallerReply> CallerSession::commit(Statement statement)
-{
-    if (!this->transaction) {
-        co_return this->errorReply(CallerError::Malformed);
-    }
-    if (this->transaction->failed || this->transaction->aborted) {
-        co_await this->endTransaction();
-        co_return this->errorReply(CallerError::Aborted);
-    }
-    if (this->transaction->lease.empty()) {
-        // A commit needs a server's signature, so an empty transaction is opened to be committed.
-        co_return co_await this->commitEmpty(std::move(statement));
-    }
-    WorkUnit unit = this->transactionUnit(UnitKind::Commit, std::move(statement.id));
-    unit.text = std::move(statement.text);
-    UnitPlace place = this->transaction->place;
-    this->transaction->lease.clear();
-    const StatementOutcome outcome
-        = co_await this->context->runner->continueTransaction(std::move(place), std::move(unit));
-    this->transaction.reset();
-    const UnitResult &result = outcome.result;
-    if (result.outcome == UnitOutcome::Done) {
-        this->position = session::laterOf(this->position, result.position);
-    }
-    if (result.outcome == UnitOutcome::NotRun) {
-        co_return this->errorReply(CallerError::Aborted);
-    }
-    co_return this->reply(result, true);
-}
-
-net::awaitable<CallerReply> CallerSession::commitEmpty(Statement statement)
-{
-    Transaction &open = *this->transaction;
-    OperationContext operation = open.context;
-    operation.values = &this->values;
-    operation.sessionPosition = this->position;
-    operation.startedAt = this->receivedAt;
-    WorkUnit unit{.kind = UnitKind::OpenTransaction, .id = std::move(statement.id), .text = std::move(statement.text)};
-    const StatementOutcome outcome
-        = co_await this->context->runner->run(std::move(operation), std::move(unit), open.readOnly);
-    this->transaction.reset();
-    if (outcome.result.outcome == UnitOutcome::NotRun) {
-        co_return this->errorReply(CallerError::Aborted);
-    }
-    co_return this->reply(outcome.result, true);
-}
-
-net::awaitable<CallerReply> CallerSession::rollback(Statement)
-{
-    co_await this->endTransaction();
-    co_return this->ownReply();
-}
-
-net::awaitable<void> CallerSession::endTransaction()
-{
-    if (!this->transaction) {
-        co_return;
-    }
-    if (!this->transaction->lease.empty()) {
-        WorkUnit unit = this->transactionUnit(UnitKind::Rollback, {});
-        unit.queueLimit = RollbackLimit;
-        unit.statementLimit = RollbackLimit;
-        UnitPlace place = this->transaction->place;
-        // The caller does not wait for the server: a connection that is not rolled back in time is closed there.
-        auto finish = [context = this->context,
-                       place = std::move(place),
-                       unit = std::move(unit)]() mutable -> net::awaitable<void> {
-            co_await context->runner->continueTransaction(std::move(place), std::move(unit));
-        };
-        asio::co_spawn(this->context->executor, std::move(finish), asio::detached);
-    }
-    this->transaction.reset();
-}
-
 net::awaitable<CallerReply> CallerSession::setValue(Statement statement)
 {
     this->values.insert_or_assign(std::move(statement.name), std::move(statement.value));
--- a/gateway/pooledserver.cpp
+++ b/gateway/pooledserver.cpp
@@ -1,6 +1,5 @@
 #include "gateway/pooledserver.h"
 
-#include "core/error.h"
 #include "core/hashing.h"
 #include "gateway/pooledserverdetail.h"
 
@@ -21,15 +20,6 @@
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 
-/// Opening takes one or two round trips and the server's handshake of up to 30 ms, behind its queue.
-constexpr std::chrono::milliseconds OpenTimeout{700};
-/// After a failure to connect, units are refused for this long instead of waiting for another attempt each.
-constexpr std::chrono::milliseconds UnreachableHold{150};
-/// After a refusal by the server's connection limit only open connections are used for this long. A server drops the
-/// connections of a daemon that went dark after 3 s, those of one that ended at once.
-constexpr std::chrono::milliseconds ConnectionRefusalHold{250};
-/// A server that has answered within this time runs, whatever happens to new connections.
-constexpr std::chrono::milliseconds AnswerLife{400};
 constexpr std::size_t LeaseIdBytes = 8;
 
 }
@@ -209,73 +199,6 @@
     this->dispatch();
 }
 
-net::awaitable<pooling::UnitResult>
-PooledServer::obtainConnection(std::string workspace, bool transaction, std::shared_ptr<Connection> &out)
-{
-    const std::optional<pooling::ConnectionChoice> choice = this->book.take(workspace, transaction);
-    this->dispatch();
-    if (!choice) {
-        co_return notRun(UnitError::QueueFull, "no connection");
-    }
-    if (choice->evicted) {
-        this->idle.erase(*choice->evicted);
-    }
-    if (choice->kind == pooling::ConnectionChoice::Kind::Reuse) {
-        const auto found = this->idle.find(choice->connection);
-        std::shared_ptr<Connection> reused = found == this->idle.end() ? nullptr : found->second;
-        this->idle.erase(choice->connection);
-        if (reused != nullptr && reused->link->isOpen()) {
-            out = std::move(reused);
-            co_return Result{.outcome = UnitOutcome::Done};
-        }
-    }
-    auto opened = std::make_shared<Connection>();
-    opened->id = choice->connection;
-    opened->workspace = workspace;
-    opened->link = this->options.links(this->options.executor);
-    ServerReply reply;
-    std::string failure;
-    if (core::Clock::now() < this->unreachableUntil) {
-        failure = "recently unreachable";
-    } else {
-        LinkTarget target{.endpoint = this->options.server.endpoint,
-                          .service = this->options.server.service,
-                          .serverId = this->options.server.id,
-                          .workspace = std::move(workspace)};
-        try {
-            reply = co_await opened->link->open(std::move(target), OpenTimeout);
-        } catch (const core::Error &error) {
-            failure = error.message;
-        }
-    }
-    if (!failure.empty()) {
-        ++this->counts.openFailures;
-        this->book.remove(opened->id);
-        // An overloaded server drops new connections while it goes on answering on those that it has.
-        const core::TimePoint now = core::Clock::now();
-        if (this->answeredAt && now - *this->answeredAt<AnswerLife &&this->book.open()> 0) {
-            this->book.refuseNew(now + ConnectionRefusalHold);
-            co_return notRun(UnitError::ConnectionLimit, failure);
-        }
-        this->unreachableUntil = now + UnreachableHold;
-        co_return notRun(UnitError::Unreachable, failure);
-    }
-    if (reply.isError) {
-        this->book.remove(opened->id);
-        if (reply.error == UnitError::ConnectionLimit) {
-            ++this->counts.connectionRefusals;
-            this->book.refuseNew(core::Clock::now() + ConnectionRefusalHold);
-        }
-        co_return notRun(reply.error == UnitError::Other ? UnitError::Unreachable : reply.error, reply.errorText);
-    }
-    ++this->counts.opened;
-    this->book.opened(opened->id);
-    this->noteAnswer();
-    this->dispatch();
-    out = std::move(opened);
-    co_return Result{.outcome = UnitOutcome::Done};
-}
-
 net::awaitable<pooling::UnitResult> PooledServer::runAdmitted(Unit unit, UnitNeed need)
 {
     const bool transaction = need == UnitNeed::SlotAndTransaction;
@@ -426,20 +349,6 @@
     co_return result;
 }
 
-void PooledServer::keepOrDrop(const std::shared_ptr<Connection> &connection, bool reusable)
-{
-    const bool keep = reusable && !this->closed && this->book.open() <= this->options.allowance.connections
-        && connection->link->isOpen();
-    if (keep) {
-        this->book.release(connection->id, core::Clock::now());
-        this->idle.emplace(connection->id, connection);
-    } else {
-        connection->link->close();
-        this->book.remove(connection->id);
-    }
-    this->dispatch();
-}
-
 void PooledServer::tick(core::TimePoint now)
 {
     for (const pooling::TicketId id : this->queue.takeExpired(now)) {
--- a/gateway/pooledserver.h
+++ b/gateway/pooledserver.h
@@ -107,6 +107,8 @@
     net::awaitable<Result> askStatus(Connection &connection, const Unit &unit);
     net::awaitable<std::optional<Slot>> admit(const Unit &unit, pooling::UnitNeed need);
     net::awaitable<Result> obtainConnection(std::string workspace, bool transaction, std::shared_ptr<Connection> &out);
+    net::awaitable<Result> openConnection(Connection &opened);
+    Result openFailed(pooling::ConnectionId connection, std::string failure);
     net::awaitable<Result> prepareConnection(Connection &connection, const Unit &unit);
     net::awaitable<Result> beginTransaction(Connection &connection, const Unit &unit);
     net::awaitable<Result> runStatement(Connection &connection, const Unit &unit, bool endWithRollback);
--- /dev/null
+++ b/gateway/pooledserverconnections.cpp
@@ -0,0 +1,121 @@
+#include "gateway/pooledserver.h"
+
+#include "core/error.h"
+#include "gateway/pooledserverdetail.h"
+
+/// Connections of a pooled server: taken for a unit, opened, kept.
+namespace endiveshore::gateway {
+
+using pooling::UnitError;
+using pooling::UnitOutcome;
+
+namespace {
+
+/// Opening takes one or two round trips and the server's handshake of up to 30 ms, behind its queue.
+constexpr std::chrono::milliseconds OpenTimeout{700};
+/// After a failure to connect, units are refused for this long instead of waiting for another attempt each.
+constexpr std::chrono::milliseconds UnreachableHold{150};
+/// After a refusal by the server's connection limit only open connections are used for this long. A server drops the
+/// connections of a daemon that went dark after 3 s, those of one that ended at once.
+constexpr std::chrono::milliseconds ConnectionRefusalHold{250};
+/// A server that has answered within this time runs, whatever happens to new connections.
+constexpr std::chrono::milliseconds AnswerLife{400};
+
+}
+
+net::awaitable<pooling::UnitResult>
+PooledServer::obtainConnection(std::string workspace, bool transaction, std::shared_ptr<Connection> &out)
+{
+    const std::optional<pooling::ConnectionChoice> choice = this->book.take(workspace, transaction);
+    this->dispatch();
+    if (!choice) {
+        co_return notRun(UnitError::QueueFull, "no connection");
+    }
+    if (choice->evicted) {
+        this->idle.erase(*choice->evicted);
+    }
+    if (choice->kind == pooling::ConnectionChoice::Kind::Reuse) {
+        const auto found = this->idle.find(choice->connection);
+        std::shared_ptr<Connection> reused = found == this->idle.end() ? nullptr : found->second;
+        this->idle.erase(choice->connection);
+        if (reused != nullptr && reused->link->isOpen()) {
+            out = std::move(reused);
+            co_return Result{.outcome = UnitOutcome::Done};
+        }
+    }
+    auto opened = std::make_shared<Connection>();
+    opened->id = choice->connection;
+    opened->workspace = std::move(workspace);
+    const Result result = co_await this->openConnection(*opened);
+    if (result.outcome == UnitOutcome::Done) {
+        out = std::move(opened);
+    }
+    co_return result;
+}
+
+net::awaitable<pooling::UnitResult> PooledServer::openConnection(Connection &opened)
+{
+    opened.link = this->options.links(this->options.executor);
+    ServerReply reply;
+    std::string failure;
+    if (core::Clock::now() < this->unreachableUntil) {
+        failure = "recently unreachable";
+    } else {
+        LinkTarget target{.endpoint = this->options.server.endpoint,
+                          .service = this->options.server.service,
+                          .serverId = this->options.server.id,
+                          .workspace = opened.workspace};
+        try {
+            reply = co_await opened.link->open(std::move(target), OpenTimeout);
+        } catch (const core::Error &error) {
+            failure = error.message;
+        }
+    }
+    if (!failure.empty()) {
+        co_return this->openFailed(opened.id, std::move(failure));
+    }
+    if (reply.isError) {
+        this->book.remove(opened.id);
+        if (reply.error == UnitError::ConnectionLimit) {
+            ++this->counts.connectionRefusals;
+            this->book.refuseNew(core::Clock::now() + ConnectionRefusalHold);
+        }
+        co_return notRun(reply.error == UnitError::Other ? UnitError::Unreachable : reply.error, reply.errorText);
+    }
+    ++this->counts.opened;
+    this->book.opened(opened.id);
+    this->noteAnswer();
+    this->dispatch();
+    co_return Result{.outcome = UnitOutcome::Done};
+}
+
+pooling::UnitResult PooledServer::openFailed(pooling::ConnectionId connection, std::string failure)
+{
+    ++this->counts.openFailures;
+    this->book.remove(connection);
+    // An overloaded server drops new connections while it goes on answering on those that it has.
+    const core::TimePoint now = core::Clock::now();
+    const bool isRunning = this->answeredAt && AnswerLife > now - *this->answeredAt;
+    if (isRunning && this->book.open() > 0) {
+        this->book.refuseNew(now + ConnectionRefusalHold);
+        return notRun(UnitError::ConnectionLimit, std::move(failure));
+    }
+    this->unreachableUntil = now + UnreachableHold;
+    return notRun(UnitError::Unreachable, std::move(failure));
+}
+
+void PooledServer::keepOrDrop(const std::shared_ptr<Connection> &connection, bool reusable)
+{
+    const bool keep = reusable && !this->closed && this->book.open() <= this->options.allowance.connections
+        && connection->link->isOpen();
+    if (keep) {
+        this->book.release(connection->id, core::Clock::now());
+        this->idle.emplace(connection->id, connection);
+    } else {
+        connection->link->close();
+        this->book.remove(connection->id);
+    }
+    this->dispatch();
+}
+
+}
