Render the platform's settings and configuration for tests in its stand-ins

The process tests of caller sessions wrote the platform's names themselves. Now platform/standins holds them, and tests/sessions and tests/gateway know none.

--- a/tests/gateway/test_metadatasource.cpp
+++ b/tests/gateway/test_metadatasource.cpp
@@ -38,8 +38,10 @@
     {
         Daemon &daemon = this->daemons[id];
         daemon.isRelay = isRelay;
-        daemon.source = std::make_shared<MetadataSource>(
-            this->context.get_executor(), this->store, std::vector<std::string>{"servers/", "op/config"}, this->log);
+        daemon.source = std::make_shared<MetadataSource>(this->context.get_executor(),
+                                                         this->store,
+                                                         std::vector<std::string>{"entries/", "configuration"},
+                                                         this->log);
         daemon::ConfigurationCallbacks callbacks;
         callbacks.isRelay = [&daemon] { return daemon.isRelay; };
         callbacks.peers = [] { return std::vector<std::string>(); };
@@ -98,26 +100,26 @@
 // Guards against a change that is missed because it came between two pages of the first read.
 TEST_F(MetadataSourceTest, ChangeBetweenTwoPagesIsSeen)
 {
-    for (const char *key : {"servers/a", "servers/b", "servers/c", "servers/d"}) {
+    for (const char *key : {"entries/a", "entries/b", "entries/c", "entries/d"}) {
         this->store->put(key, "old");
     }
     this->store->pageSize = 2;
     this->store->onPage = [this, once = true]() mutable {
         if (std::exchange(once, false)) {
-            this->store->put("servers/a", std::nullopt);
-            this->store->put("servers/b", "new");
+            this->store->put("entries/a", std::nullopt);
+            this->store->put("entries/b", "new");
         }
     };
     const Daemon &daemon = this->start("a", true);
-    this->runUntil([&] { return this->value(daemon, "servers/b") == "new"; });
-    EXPECT_EQ(this->value(daemon, "servers/a"), "-");
-    EXPECT_EQ(this->value(daemon, "servers/d"), "old");
+    this->runUntil([&] { return this->value(daemon, "entries/b") == "new"; });
+    EXPECT_EQ(this->value(daemon, "entries/a"), "-");
+    EXPECT_EQ(this->value(daemon, "entries/d"), "old");
 }
 
 // Guards against keys of others that raise the revision of what the daemons follow.
 TEST_F(MetadataSourceTest, KeysOfOthersAreLeftOut)
 {
-    this->store->put("servers/a", "x");
+    this->store->put("entries/a", "x");
     this->store->put("status/a", "x");
     const Daemon &daemon = this->start("a", true);
     this->runUntil([&] { return daemon.service->loaded(); });
@@ -127,26 +129,27 @@
 // Guards against a daemon that goes on with what it knew after the store has dropped its history.
 TEST_F(MetadataSourceTest, LostHistoryIsReadAnew)
 {
-    this->store->put("servers/a", "x");
+    this->store->put("entries/a", "x");
     const Daemon &daemon = this->start("a", true);
-    this->runUntil([&] { return this->value(daemon, "servers/a") == "x"; });
-    this->store->put("servers/a", std::nullopt);
-    this->store->put("servers/b", "y");
+    this->runUntil([&] { return this->value(daemon, "entries/a") == "x"; });
+    this->store->put("entries/a", std::nullopt);
+    this->store->put("entries/b", "y");
     this->store->forgetHistory();
-    this->runUntil([&] { return this->value(daemon, "servers/b") == "y"; });
-    EXPECT_EQ(this->value(daemon, "servers/a"), "-");
+    this->runUntil([&] { return this->value(daemon, "entries/b") == "y"; });
+    EXPECT_EQ(this->value(daemon, "entries/a"), "-");
 }
 
 // Guards against calls to the store by every daemon, and against changes that reach only those who watch.
 TEST_F(MetadataSourceTest, OthersTakeChangesFromTheRelay)
 {
-    this->store->put("op/config", "1");
+    this->store->put("configuration", "1");
     const Daemon &relay = this->start("a", true);
     const Daemon &follower = this->start("b", false);
-    this->runUntil([&] { return this->value(relay, "op/config") == "1" && this->value(follower, "op/config") == "1"; });
+    this->runUntil(
+        [&] { return this->value(relay, "configuration") == "1" && this->value(follower, "configuration") == "1"; });
     const std::optional<core::TimePoint> contact = follower.source->lastContact();
-    this->store->put("op/config", "2");
-    this->runUntil([&] { return this->value(follower, "op/config") == "2"; });
+    this->store->put("configuration", "2");
+    this->runUntil([&] { return this->value(follower, "configuration") == "2"; });
     EXPECT_GT(this->exchanges, 0);
     EXPECT_EQ(follower.source->lastContact(), contact);
 }
@@ -154,16 +157,16 @@
 // Guards against a daemon that stays without a configuration because it started while the store was away.
 TEST_F(MetadataSourceTest, DaemonThatStartsWithoutTheStoreLoadsFromOthers)
 {
-    this->store->put("op/config", "1");
+    this->store->put("configuration", "1");
     const Daemon &first = this->start("a", true);
     this->runUntil([&] { return first.service->loaded(); });
     this->store->down = true;
     const Daemon &second = this->start("b", true);
-    this->runUntil([&] { return this->value(second, "op/config") == "1"; });
+    this->runUntil([&] { return this->value(second, "configuration") == "1"; });
     EXPECT_FALSE(second.source->lastContact());
     this->store->down = false;
-    this->store->put("op/config", "2");
-    this->runUntil([&] { return this->value(second, "op/config") == "2"; });
+    this->store->put("configuration", "2");
+    this->runUntil([&] { return this->value(second, "configuration") == "2"; });
 }
 
 }
--- a/tests/sessions/sessionfleet.cpp
+++ b/tests/sessions/sessionfleet.cpp
@@ -1,8 +1,10 @@
 #include "sessionfleet.h"
 
+#include "platform/documents.h"
+#include "platform/standins/platformdocuments.h"
+
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/json.hpp>
 #include <gtest/gtest.h>
 
 #include <filesystem>
@@ -13,7 +15,6 @@
 
 namespace endiveshore::tests {
 
-namespace json = boost::json;
 using platform::standins::LineDatabaseOptions;
 using platform::standins::PlatformStandin;
 
@@ -56,11 +57,6 @@
     return {boost::asio::ip::make_address(address(host)), static_cast<std::uint16_t>(port)};
 }
 
-std::string textOf(int host, int port)
-{
-    return address(host) + ":" + std::to_string(port);
-}
-
 }
 
 SessionFleet::SessionFleet()
@@ -107,19 +103,22 @@
     const std::string name = "front-" + std::to_string(index + 1);
     const std::string dataCentre = "z" + std::to_string(index + 1);
     const std::string settings = this->directory + '/' + name + ".conf";
-    std::ofstream(settings) << "node=" << name << "\nclass=front\nip=" << address(host) << "\nzone=" << dataCentre
-                            << "\nregion=r1\nzones.z1=r1\nzones.z2=r1\nzones.z3=r1\nlisten.front="
-                            << textOf(host, this->port + CallerOffset)
-                            << "\nlisten.ready=" << textOf(host, this->port + ReadinessOffset)
-                            << "\nport_range=" << this->port + PeerOffset << ',' << this->port + LastPeerOffset
-                            << "\nseeds=" << textOf(FirstDaemonHost, this->port + ControlOffset)
-                            << "\nplatform.address=" << textOf(PlatformHost, this->port + StoreOffset)
-                            << "\ncloud_api.address=" << textOf(PlatformHost, this->port + PromotionOffset)
-                            << "\nheartbeat_ms=1000\nbounds.grace_s=" << Grace.count() / 1'000 << '\n';
+    std::ofstream(settings) << platform::standins::settingsText(
+        {.id = name,
+         .dataCentre = dataCentre,
+         .dataCentres = {"z1", "z2", "z3"},
+         .callers = endpoint(host, this->port + CallerOffset),
+         .readiness = endpoint(host, this->port + ReadinessOffset),
+         .firstPeerPort = static_cast<std::uint16_t>(this->port + PeerOffset),
+         .lastPeerPort = static_cast<std::uint16_t>(this->port + LastPeerOffset),
+         .seed = endpoint(FirstDaemonHost, this->port + ControlOffset),
+         .store = endpoint(PlatformHost, this->port + StoreOffset),
+         .promotions = endpoint(PlatformHost, this->port + PromotionOffset),
+         .grace = Grace});
     this->daemons.emplace_back(ENDIVESHORE_BIN_DIR "/endiveshored",
                                std::vector<std::string>{"sessions"},
                                this->directory + '/' + name + ".log",
-                               std::vector<std::string>{"ENDIVESHORE_SETTINGS=" + settings});
+                               std::vector<std::string>{std::string(platform::SettingsVariable) + "=" + settings});
 }
 
 bool SessionFleet::isReady(std::size_t index) const
@@ -132,8 +131,8 @@
     if (error) {
         return false;
     }
-    const std::string request
-        = "GET /v1/readiness HTTP/1.1\r\nHost: " + address(host) + "\r\nConnection: close\r\n\r\n";
+    const std::string request = "GET " + std::string(platform::ReadinessPath) + " HTTP/1.1\r\nHost: " + address(host)
+        + "\r\nConnection: close\r\n\r\n";
     boost::asio::write(socket, boost::asio::buffer(request), error);
     std::string answer;
     boost::asio::read_until(socket, boost::asio::dynamic_buffer(answer), "\r\n", error);
@@ -159,33 +158,15 @@
 
 void SessionFleet::configure(std::string_view key)
 {
-    const auto route = [](std::string_view database, std::string_view kind) {
-        return json::object{{"name", database},
-                            {"host", database},
-                            {"prefix", "/"},
-                            {"kind", kind},
-                            {"timeout_ms", 1'000},
-                            {"slo_latency_ms", 800},
-                            {"priority", 1},
-                            {"service", Service},
-                            {"attempts", 2},
-                            {"max_staleness_ms", 2'000},
-                            {"public", false}};
-    };
-    const json::object configuration{
-        {"version", ++this->version},
-        {"routes", json::array{route(PrimaryDatabase, "primary"), route(SessionDatabase, "session")}},
-        {"services",
-         json::array{json::object{{"name", Service}, {"max_conns", 40}, {"protocol", "h1"}, {"sync_replicas", 0}}}},
-        {"limits", json::object{{"idle_timeout_ms", 15'000}, {"tx_idle_ms", 3'000}}},
-        {"tenants",
-         json::array{json::object{{"name", Workspace},
-                                  {"api_keys", json::array{key}},
-                                  {"priority", 1},
-                                  {"rate_per_s", 200},
-                                  {"burst", 200}}}}};
-    this->standin->ask([text = json::serialize(configuration)](PlatformStandin &platform) {
-        platform.store().put("op/config", text);
+    const std::string configuration = platform::standins::configurationText(
+        {.version = ++this->version,
+         .service = std::string(Service),
+         .routes = {{.database = std::string(PrimaryDatabase), .kind = "primary"},
+                    {.database = std::string(SessionDatabase), .kind = "session"}},
+         .workspace = std::string(Workspace),
+         .key = std::string(key)});
+    this->standin->ask([&configuration](PlatformStandin &standin) {
+        standin.store().put(std::string(platform::ConfigurationKey), configuration);
     });
 }
 
