Test that malformed entries of the metadata store are left out and logged

Guards the rule for bad input at the daemon's own registrations, server entries and the operators' configuration: every daemon logs them, stays ready and serves with what it knew before.

--- a/tests/sessions/sessionfleet.cpp
+++ b/tests/sessions/sessionfleet.cpp
@@ -1,5 +1,6 @@
 #include "sessionfleet.h"
 
+#include "gateway/daemonlease.h"
 #include "platform/documents.h"
 #include "platform/standins/platformdocuments.h"
 
@@ -9,6 +10,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <thread>
 
 #include <unistd.h>
@@ -52,6 +54,11 @@
     return std::string(Network) + std::to_string(host);
 }
 
+std::string daemonName(std::size_t index)
+{
+    return "front-" + std::to_string(index + 1);
+}
+
 net::TcpEndpoint endpoint(int host, int port)
 {
     return {boost::asio::ip::make_address(address(host)), static_cast<std::uint16_t>(port)};
@@ -97,12 +104,33 @@
     }
 }
 
+std::string SessionFleet::fileOf(std::size_t index, std::string_view extension) const
+{
+    return this->directory + '/' + daemonName(index) + std::string(extension);
+}
+
+std::string SessionFleet::logOf(std::size_t index) const
+{
+    std::ifstream file(this->fileOf(index, ".log"));
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
+void SessionFleet::writeMalformedEntries()
+{
+    this->standin->ask([](PlatformStandin &standin) {
+        constexpr std::string_view Malformed = "{\"address\":";
+        standin.store().put(std::string(platform::ServerPrefix) + "server-9", std::string(Malformed));
+        standin.store().put(gateway::DaemonLease::registrationPrefix() + "front-9", std::string(Malformed));
+        standin.store().put(std::string(platform::ConfigurationKey), std::string(Malformed));
+    });
+}
+
 void SessionFleet::startDaemon(std::size_t index)
 {
     const int host = FirstDaemonHost + static_cast<int>(index);
-    const std::string name = "front-" + std::to_string(index + 1);
+    const std::string name = daemonName(index);
     const std::string dataCentre = "z" + std::to_string(index + 1);
-    const std::string settings = this->directory + '/' + name + ".conf";
+    const std::string settings = this->fileOf(index, ".conf");
     std::ofstream(settings) << platform::standins::settingsText(
         {.id = name,
          .dataCentre = dataCentre,
@@ -117,7 +145,7 @@
          .grace = Grace});
     this->daemons.emplace_back(ENDIVESHORE_BIN_DIR "/endiveshored",
                                std::vector<std::string>{"sessions"},
-                               this->directory + '/' + name + ".log",
+                               this->fileOf(index, ".log"),
                                std::vector<std::string>{std::string(platform::SettingsVariable) + "=" + settings});
 }
 
--- a/tests/sessions/sessionfleet.h
+++ b/tests/sessions/sessionfleet.h
@@ -36,6 +36,12 @@
     bool waitUntilReady(std::size_t index, std::chrono::milliseconds limit) const;
     LineCaller connect(std::size_t index) const;
 
+    /// What the daemon has logged so far.
+    std::string logOf(std::size_t index) const;
+
+    /// Puts text that is neither an entry nor a configuration where daemons read theirs.
+    void writeMalformedEntries();
+
     /// Writes the next configuration, in which the workspace has @p key.
     void configure(std::string_view key);
 
@@ -45,6 +51,7 @@
 
 private:
     void startDaemon(std::size_t index);
+    std::string fileOf(std::size_t index, std::string_view extension) const;
 
     std::string directory;
     std::uint16_t port;
--- a/tests/sessions/test_sessions.cpp
+++ b/tests/sessions/test_sessions.cpp
@@ -164,4 +164,27 @@
     }
 }
 
+// Guards against an entry of the store that ends a daemon, or that takes the place of what it knew before.
+TEST_F(Sessions, MalformedEntriesAreLeftOutAndLogged)
+{
+    this->fleet.writeMalformedEntries();
+    const auto end = std::chrono::steady_clock::now() + ConfigurationLimit;
+    const auto isLogged = [this](std::size_t daemon, std::string_view event) {
+        return this->fleet.logOf(daemon).find(event) != std::string::npos;
+    };
+    for (std::size_t daemon = 0; daemon < SessionFleet::Daemons; ++daemon) {
+        for (const std::string_view event : {"registration_unreadable", "configuration_unreadable"}) {
+            while (!isLogged(daemon, event) && std::chrono::steady_clock::now() < end) {
+                std::this_thread::sleep_for(PollInterval);
+            }
+            EXPECT_TRUE(isLogged(daemon, event)) << daemon << ' ' << event;
+        }
+        EXPECT_TRUE(this->fleet.isReady(daemon));
+        LineCaller caller = this->fleet.connect(daemon);
+        ASSERT_TRUE(caller.start(SessionFleet::PrimaryDatabase, SessionFleet::Key).succeeded()) << daemon;
+        const std::string item = "item-" + std::to_string(daemon);
+        EXPECT_TRUE(caller.ask("w" + item, "WRITE " + item + " value").succeeded());
+    }
+}
+
 }
