Test a suspended holder of the duty and a leaving primary with real processes

Two gaps that docs/PROOFS.md named: a holder that is suspended while another daemon promotes must order nothing after it goes on, and a primary whose entry says that it leaves is replaced before it goes. Both hold on the present code (three daemons, real store and promotion service stand-ins).

--- a/tests/sessions/sessionfleet.cpp
+++ b/tests/sessions/sessionfleet.cpp
@@ -115,6 +115,11 @@
     return {std::istreambuf_iterator<char>(file), {}};
 }
 
+bool SessionFleet::hasLogged(std::size_t index, std::string_view event) const
+{
+    return this->logOf(index).find("event=" + std::string(event) + ' ') != std::string::npos;
+}
+
 void SessionFleet::writeMalformedEntries()
 {
     this->standin->ask([](PlatformStandin &standin) {
--- a/tests/sessions/sessionfleet.h
+++ b/tests/sessions/sessionfleet.h
@@ -39,6 +39,9 @@
     /// What the daemon has logged so far.
     std::string logOf(std::size_t index) const;
 
+    /// True once the daemon has logged @p event.
+    bool hasLogged(std::size_t index, std::string_view event) const;
+
     /// Puts text that is neither an entry nor a configuration where daemons read theirs.
     void writeMalformedEntries();
 
--- a/tests/sessions/test_sessions.cpp
+++ b/tests/sessions/test_sessions.cpp
@@ -14,6 +14,7 @@
 constexpr std::chrono::milliseconds TakeoverLimit{6'000}; // OPERATIONS.md: writes return within six seconds.
 constexpr std::chrono::milliseconds ConfigurationLimit{4'000}; // OPERATIONS.md: a configuration holds everywhere.
 constexpr std::chrono::milliseconds RestartLimit{8'000};
+constexpr std::chrono::milliseconds LateOrderTime{3'000}; ///< Longer than the lease of the duty.
 constexpr std::chrono::milliseconds PollInterval{20};
 
 }
@@ -40,6 +41,11 @@
         });
     }
 
+    int promotions()
+    {
+        return this->fleet.platform().ask([](PlatformStandin &platform) { return platform.promotions(); });
+    }
+
     SessionFleet fleet;
 };
 
@@ -89,7 +95,7 @@
         EXPECT_LT(this->fleet.timeToWrite(daemon, "after-" + std::to_string(daemon), TakeoverLimit), TakeoverLimit);
     }
     EXPECT_NE(this->primary(), old);
-    EXPECT_EQ(this->fleet.platform().ask([](PlatformStandin &platform) { return platform.promotions(); }), 1);
+    EXPECT_EQ(this->promotions(), 1);
 }
 
 // Guards against callers who wait for the metadata store.
@@ -169,15 +175,12 @@
 {
     this->fleet.writeMalformedEntries();
     const auto end = std::chrono::steady_clock::now() + ConfigurationLimit;
-    const auto isLogged = [this](std::size_t daemon, std::string_view event) {
-        return this->fleet.logOf(daemon).find(event) != std::string::npos;
-    };
     for (std::size_t daemon = 0; daemon < SessionFleet::Daemons; ++daemon) {
         for (const std::string_view event : {"registration_unreadable", "configuration_unreadable"}) {
-            while (!isLogged(daemon, event) && std::chrono::steady_clock::now() < end) {
+            while (!this->fleet.hasLogged(daemon, event) && std::chrono::steady_clock::now() < end) {
                 std::this_thread::sleep_for(PollInterval);
             }
-            EXPECT_TRUE(isLogged(daemon, event)) << daemon << ' ' << event;
+            EXPECT_TRUE(this->fleet.hasLogged(daemon, event)) << daemon << ' ' << event;
         }
         EXPECT_TRUE(this->fleet.isReady(daemon));
         LineCaller caller = this->fleet.connect(daemon);
@@ -187,4 +190,47 @@
     }
 }
 
+// Guards against an order of a holder of the duty that was suspended while another one was elected and acted.
+TEST_F(Sessions, AHolderThatWasSuspendedOrdersNothingLate)
+{
+    std::size_t holder = 0;
+    while (holder < SessionFleet::Daemons && !this->fleet.hasLogged(holder, "duty_taken")) {
+        ++holder;
+    }
+    ASSERT_LT(holder, SessionFleet::Daemons) << "nobody was elected before the daemons were ready";
+    const std::size_t other = (holder + 1) % SessionFleet::Daemons;
+    const std::string old = this->primary();
+    this->fleet.daemon(holder).sendSignal(SIGSTOP);
+    this->fleet.platform().ask(
+        [old](PlatformStandin &platform) { platform.database(std::string(SessionFleet::Service)).kill(old); });
+    EXPECT_LT(this->fleet.timeToWrite(other, "while-suspended", TakeoverLimit), TakeoverLimit);
+    EXPECT_EQ(this->promotions(), 1);
+    const std::string next = this->primary();
+    this->fleet.daemon(holder).sendSignal(SIGCONT);
+    std::this_thread::sleep_for(LateOrderTime);
+    EXPECT_LT(this->fleet.timeToWrite(holder, "after-resume", TakeoverLimit), TakeoverLimit);
+    EXPECT_EQ(this->promotions(), 1);
+    EXPECT_EQ(this->primary(), next);
+}
+
+// Guards against a planned stop of the primary that is met only after it has gone.
+TEST_F(Sessions, ALeavingPrimaryIsReplacedBeforeItGoes)
+{
+    ASSERT_LT(this->fleet.timeToWrite(0, "before", TakeoverLimit), TakeoverLimit);
+    const std::string old = this->primary();
+    this->fleet.platform().ask(
+        [old](PlatformStandin &platform) { platform.database(std::string(SessionFleet::Service)).leave(old); });
+    const auto end = std::chrono::steady_clock::now() + SessionFleet::Grace;
+    while ((this->primary() == old || this->primary().empty()) && std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(PollInterval);
+    }
+    EXPECT_NE(this->primary(), old);
+    EXPECT_EQ(this->promotions(), 1);
+    this->fleet.platform().ask(
+        [old](PlatformStandin &platform) { platform.database(std::string(SessionFleet::Service)).kill(old); });
+    for (std::size_t daemon = 0; daemon < SessionFleet::Daemons; ++daemon) {
+        EXPECT_LT(this->fleet.timeToWrite(daemon, "after-" + std::to_string(daemon), TakeoverLimit), TakeoverLimit);
+    }
+}
+
 }
