Share the waiting loops of the gateway's and the sessions' tests

Three test fixtures of the gateway had the same loop over their event loop; it is now tests/gateway/eventloop.h. The tests with session daemons wrote out the loop of tools::Deployment::waitUntil three times and now call it. Limits and assertions stay; the leaving-primary test now also fails if nobody leads at the end of its time.

--- a/tests/gateway/test_daemonlease.cpp
+++ b/tests/gateway/test_daemonlease.cpp
@@ -1,5 +1,6 @@
 #include "gateway/daemonlease.h"
 
+#include "tests/gateway/eventloop.h"
 #include "tests/gateway/fakemetadatastore.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -57,12 +58,7 @@
 
     void runUntil(const std::function<bool()> &done)
     {
-        const core::TimePoint giveUp = core::Clock::now() + 5s;
-        while (!done() && core::Clock::now() < giveUp) {
-            this->context.restart();
-            this->context.run_for(5ms);
-        }
-        EXPECT_TRUE(done());
+        gateway::runUntil(this->context, done);
     }
 
     boost::asio::io_context context;
--- a/tests/gateway/test_leadersearch.cpp
+++ b/tests/gateway/test_leadersearch.cpp
@@ -1,6 +1,7 @@
 #include "gateway/leadersearch.h"
 
 #include "platform/lineformat.h"
+#include "tests/gateway/eventloop.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -60,12 +61,7 @@
 
     void runUntil(const std::function<bool()> &done)
     {
-        const core::TimePoint giveUp = core::Clock::now() + 5s;
-        while (!done() && core::Clock::now() < giveUp) {
-            this->context.restart();
-            this->context.run_for(5ms);
-        }
-        EXPECT_TRUE(done());
+        gateway::runUntil(this->context, done);
     }
 
     boost::asio::io_context context;
--- a/tests/gateway/test_metadatasource.cpp
+++ b/tests/gateway/test_metadatasource.cpp
@@ -3,6 +3,7 @@
 #include "confsync/deltamessage.h"
 #include "core/error.h"
 #include "daemon/configservice.h"
+#include "tests/gateway/eventloop.h"
 #include "tests/gateway/fakemetadatastore.h"
 
 #include <boost/asio/io_context.hpp>
@@ -79,13 +80,7 @@
 
     void runUntil(const std::function<bool()> &done)
     {
-        const core::TimePoint giveUp = core::Clock::now() + 5s;
-        while (!done() && core::Clock::now() < giveUp) {
-            this->context.restart();
-            this->context.run_for(5ms);
-            this->exchangeReports();
-        }
-        EXPECT_TRUE(done());
+        gateway::runUntil(this->context, done, [this] { this->exchangeReports(); });
     }
 
     boost::asio::io_context context;
--- a/tests/sessions/sessionfleet.cpp
+++ b/tests/sessions/sessionfleet.cpp
@@ -3,6 +3,7 @@
 #include "gateway/daemonlease.h"
 #include "platform/documents.h"
 #include "platform/standins/platformdocuments.h"
+#include "tools/deployment.h"
 
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
@@ -174,14 +175,7 @@
 
 bool SessionFleet::waitUntilReady(std::size_t index, std::chrono::milliseconds limit) const
 {
-    const auto end = std::chrono::steady_clock::now() + limit;
-    while (!this->isReady(index)) {
-        if (std::chrono::steady_clock::now() >= end) {
-            return false;
-        }
-        std::this_thread::sleep_for(PollInterval);
-    }
-    return true;
+    return tools::Deployment::waitUntil([&] { return this->isReady(index); }, limit);
 }
 
 LineCaller SessionFleet::connect(std::size_t index) const
--- a/tests/sessions/test_sessions.cpp
+++ b/tests/sessions/test_sessions.cpp
@@ -1,5 +1,7 @@
 #include "sessionfleet.h"
 
+#include "tools/deployment.h"
+
 #include <gtest/gtest.h>
 
 #include <csignal>
@@ -8,6 +10,7 @@
 namespace endiveshore::tests {
 
 using platform::standins::PlatformStandin;
+using tools::Deployment;
 
 namespace {
 
@@ -174,14 +177,17 @@
 TEST_F(Sessions, MalformedEntriesAreLeftOutAndLogged)
 {
     this->fleet.writeMalformedEntries();
-    const auto end = std::chrono::steady_clock::now() + ConfigurationLimit;
-    for (std::size_t daemon = 0; daemon < SessionFleet::Daemons; ++daemon) {
-        for (const std::string_view event : {"registration_unreadable", "configuration_unreadable"}) {
-            while (!this->fleet.hasLogged(daemon, event) && std::chrono::steady_clock::now() < end) {
-                std::this_thread::sleep_for(PollInterval);
+    const auto areLogged = [this] {
+        for (std::size_t daemon = 0; daemon < SessionFleet::Daemons; ++daemon) {
+            if (!this->fleet.hasLogged(daemon, "registration_unreadable")
+                || !this->fleet.hasLogged(daemon, "configuration_unreadable")) {
+                return false;
             }
-            EXPECT_TRUE(this->fleet.hasLogged(daemon, event)) << daemon << ' ' << event;
         }
+        return true;
+    };
+    EXPECT_TRUE(Deployment::waitUntil(areLogged, ConfigurationLimit));
+    for (std::size_t daemon = 0; daemon < SessionFleet::Daemons; ++daemon) {
         EXPECT_TRUE(this->fleet.isReady(daemon));
         LineCaller caller = this->fleet.connect(daemon);
         ASSERT_TRUE(caller.start(SessionFleet::PrimaryDatabase, SessionFleet::Key).succeeded()) << daemon;
@@ -220,11 +226,12 @@
     const std::string old = this->primary();
     this->fleet.platform().ask(
         [old](PlatformStandin &platform) { platform.database(std::string(SessionFleet::Service)).leave(old); });
-    const auto end = std::chrono::steady_clock::now() + SessionFleet::Grace;
-    while ((this->primary() == old || this->primary().empty()) && std::chrono::steady_clock::now() < end) {
-        std::this_thread::sleep_for(PollInterval);
-    }
-    EXPECT_NE(this->primary(), old);
+    EXPECT_TRUE(Deployment::waitUntil(
+        [&] {
+            const std::string next = this->primary();
+            return next != old && !next.empty();
+        },
+        SessionFleet::Grace));
     EXPECT_EQ(this->promotions(), 1);
     this->fleet.platform().ask(
         [old](PlatformStandin &platform) { platform.database(std::string(SessionFleet::Service)).kill(old); });
