Log failed pulls, sources of a configuration and ignored entries

Change: metadata_pull_failed, configuration_received, configuration_row_ignored, server_unreadable; store_lost says how long the store was silent. A failed pull of the own interface is logged as configuration_pull_failed. Result: no decision changed.

--- a/daemon/configservice.cpp
+++ b/daemon/configservice.cpp
@@ -74,6 +74,11 @@
     return this->configuration;
 }
 
+const std::string &ConfigurationService::revisionSource() const
+{
+    return this->currentSource;
+}
+
 core::TimePoint ConfigurationService::lastStoreConfirmation() const
 {
     return this->storeConfirmation;
@@ -261,18 +266,33 @@
     json::object request = confsync::deltaRequest(this->configuration);
     json::object message;
     try {
-        message = co_await this->callbacks.exchange(std::move(memberId), std::move(request));
-    } catch (const std::exception &) {
+        message = co_await this->callbacks.exchange(memberId, std::move(request));
+    } catch (const std::exception &error) {
+        this->reportFailedPull(memberId, error.what());
         co_return false;
     }
-    const boost::leaf::result<confsync::Delta> delta = confsync::deltaFromJson(message);
-    if (!delta) {
+    confsync::Delta delta;
+    try {
+        delta = core::valueOrThrow([&message] { return confsync::deltaFromJson(message); });
+    } catch (const core::Error &error) {
+        this->reportFailedPull(memberId, error.message);
         co_return false;
     }
-    this->notifyIfApplied(this->configuration.mergeDelta(delta.value()));
+    const confsync::MergeResult result = this->configuration.mergeDelta(delta);
+    if (result == confsync::MergeResult::Gap) {
+        this->reportFailedPull(memberId, "the delta starts after the own revision");
+    }
+    this->notifyIfApplied(result, memberId);
     co_return true;
 }
 
+void ConfigurationService::reportFailedPull(std::string_view memberId, std::string_view reason) const
+{
+    if (this->callbacks.onPullFailed) {
+        this->callbacks.onPullFailed(memberId, reason);
+    }
+}
+
 void ConfigurationService::addCandidate(Candidate candidate)
 {
     for (Candidate &known : this->candidates) {
@@ -324,9 +344,10 @@
     return std::chrono::duration_cast<core::Duration>(this->options.retryInterval * factor(this->random));
 }
 
-void ConfigurationService::notifyIfApplied(confsync::MergeResult result)
+void ConfigurationService::notifyIfApplied(confsync::MergeResult result, std::string_view memberId)
 {
     if (result == confsync::MergeResult::Applied && !this->stopped) {
+        this->currentSource = memberId;
         this->callbacks.revisionRaised(this->configuration);
     }
 }
--- a/daemon/configservice.h
+++ b/daemon/configservice.h
@@ -49,6 +49,8 @@
     std::function<bool(std::string_view memberId)> isInSameRegion;
     /// Called each time the revision has increased.
     std::function<void(const confsync::EntryStore &entries)> revisionRaised;
+    /// Called when a pull from a member failed or its delta could not be applied. May be empty.
+    std::function<void(std::string_view memberId, std::string_view reason)> onPullFailed;
 };
 
 /// Keeps the configuration of one daemon up to date. A relay watches the store; other daemons learn of higher revisions
@@ -73,6 +75,9 @@
     std::int64_t revision() const;
     const confsync::EntryStore &entries() const;
 
+    /// Id of the member from which the current revision was pulled; empty if it was read from the store.
+    const std::string &revisionSource() const;
+
     /// Latest time at which the store confirmed that this daemon knows all changes; TimePoint::min() if it never did.
     core::TimePoint lastStoreConfirmation() const;
 
@@ -117,13 +122,15 @@
     void addSubstituteCandidate(const Candidate &failed);
     net::awaitable<void> pause(core::Duration duration);
     core::Duration nextRetryDelay();
-    void notifyIfApplied(confsync::MergeResult result);
+    void notifyIfApplied(confsync::MergeResult result, std::string_view memberId = {});
+    void reportFailedPull(std::string_view memberId, std::string_view reason) const;
 
     net::Executor executor;
     std::shared_ptr<ConfigurationSource> source;
     ConfigurationOptions options;
     ConfigurationCallbacks callbacks;
     confsync::EntryStore configuration;
+    std::string currentSource; ///< Member that sent the current revision; empty for the store.
     std::mt19937_64 random;
     bool stopped = false;
     core::TimePoint storeConfirmation = core::TimePoint::min();
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -181,6 +181,12 @@
         return this->exchangeWithPeer(std::move(memberId), "/peer/config", std::move(request));
     };
     callbacks.revisionRaised = [this](const confsync::EntryStore &entries) { this->rebuildCatalogue(entries); };
+    callbacks.onPullFailed = [this](std::string_view memberId, std::string_view reason) {
+        this->log.line("configuration_pull_failed", telemetry::LogLevel::Warning)
+            .field("member", memberId)
+            .field("revision", this->configuration->revision())
+            .field("reason", reason);
+    };
     ConfigurationOptions options;
     options.seed = core::stableHash(this->settings.id);
     auto source = std::make_shared<StoreClientSource>(this->store,
--- a/gateway/configuration.h
+++ b/gateway/configuration.h
@@ -60,6 +60,7 @@
     std::map<std::string, std::string, std::less<>> workspaceByKey;
     core::Milliseconds transactionIdleTimeout{}; ///< An open transaction that is idle for this long is rolled back.
     std::size_t maximumLineBytes = 0; ///< Longest line of a caller.
+    std::vector<std::string> ignoredRows; ///< Rows of the document that could not be used, with the reason.
 };
 
 /// A backend server from its own entry in the metadata store.
--- a/gateway/gatewaymetadata.cpp
+++ b/gateway/gatewaymetadata.cpp
@@ -42,6 +42,12 @@
         return this->exchangeMetadata(std::move(daemon), std::move(request));
     };
     callbacks.revisionRaised = [this](const confsync::EntryStore &entries) { this->applyMetadata(entries); };
+    callbacks.onPullFailed = [this](std::string_view peer, std::string_view reason) {
+        this->log.line("metadata_pull_failed", telemetry::LogLevel::Warning)
+            .field("peer", peer)
+            .field("revision", this->metadata->revision())
+            .field("reason", reason);
+    };
     daemon::ConfigurationOptions options;
     options.watchSilence = MetadataSilence;
     options.retryInterval = MetadataRetry;
@@ -101,6 +107,11 @@
     this->lease->onStoreRead();
     this->scheduleView();
     if (this->mirror.configuration() != before) {
+        const std::string &source = this->metadata->revisionSource();
+        this->log.line("configuration_received")
+            .field("version", this->mirror.configuration()->version)
+            .field("revision", entries.revision())
+            .field("source", source.empty() ? std::string_view("store") : std::string_view(source));
         this->sendReport();
     }
 }
--- a/gateway/metadatamirror.cpp
+++ b/gateway/metadatamirror.cpp
@@ -74,6 +74,12 @@
     std::optional<BackendServer> server;
     if (entry != nullptr) {
         server = this->format.readServer(key, entry->value, static_cast<std::uint64_t>(entry->version));
+        if (!server) {
+            this->log.line("server_unreadable", telemetry::LogLevel::Warning)
+                .field("server", id)
+                .field("bytes", entry->value.size())
+                .field("revision", entry->version);
+        }
     }
     if (!server) {
         if (this->catalogue.contains(id)) {
@@ -114,6 +120,11 @@
         .field("version", this->newest->version)
         .field("routes", this->newest->routes.size())
         .field("workspaces", this->newest->workspaces.size());
+    for (const std::string &row : this->newest->ignoredRows) {
+        this->log.line("configuration_row_ignored", telemetry::LogLevel::Warning)
+            .field("version", this->newest->version)
+            .field("reason", row);
+    }
     return true;
 }
 
--- a/gateway/metadatasource.cpp
+++ b/gateway/metadatasource.cpp
@@ -136,7 +136,11 @@
 {
     if (this->reachable) {
         this->reachable = false;
-        this->log.line("store_lost", telemetry::LogLevel::Warning).field("reason", reason);
+        const core::Duration silence
+            = this->contact ? core::Clock::now() - *this->contact : core::Duration::zero();
+        this->log.line("store_lost", telemetry::LogLevel::Warning)
+            .field("reason", reason)
+            .field("silence_ms", core::toMilliseconds(silence));
     }
 }
 
