Replace a silent watch of the store within the deadline of a change

Callers saw: after a confirmed change, requests were handled by an older version (CONFIG), for up to 10 s. Cause: open connections may go silent for good. A watch without changes waited 8 s and was given up 2 s later, a time chosen without regard to the deadline (4 or 6 s). All relays reopen their watches at the same event, so a silence of all connections shortly after a change left no watch for 10 s, and no daemon had news that another one could pull. Change: a watch waits for half of the deadline that the settings state (bounds.config_apply_ms) and gets 1 s for its response. The gateway decides both; the adapter only passes them on. The stand-in of the store can silence connections.

--- a/gateway/configuration.h
+++ b/gateway/configuration.h
@@ -98,6 +98,8 @@
     net::TcpEndpoint promotionService;
     core::Milliseconds heartbeat{}; ///< Heartbeat interval of backend servers.
     core::Milliseconds stopGrace{}; ///< Time from the stop signal to the exit of the process.
+    /// Time after its acknowledgement in which a change of the metadata store must be in force.
+    core::Milliseconds changeDeadline{};
     double processorShare = 1; ///< Part of one core that the daemon may use.
     bool checksFences = true; ///< The promotion service refuses orders with an outdated fence.
     std::string text; ///< Settings as read, to detect changes.
--- a/gateway/gatewaymetadata.cpp
+++ b/gateway/gatewaymetadata.cpp
@@ -14,8 +14,6 @@
 
 /// Daemons whose last report is older are not candidates for relays.
 constexpr std::chrono::milliseconds MaximumRelayReportAge{1'200};
-/// If a relay's watch returns nothing for this long, the relay also takes changes from other daemons.
-constexpr std::chrono::milliseconds MetadataSilence{10'000};
 /// Interval between attempts to reach the metadata store, with a jitter of half the interval in both directions.
 constexpr std::chrono::milliseconds MetadataRetry{300};
 
@@ -28,7 +26,8 @@
     this->source = std::make_shared<MetadataSource>(
         executor,
         this->store,
-        std::vector<std::string>{format.configurationKey, format.serverPrefix, std::string(OwnKeyPrefix)},
+        MetadataSourceOptions{.prefixes = {format.configurationKey, format.serverPrefix, std::string(OwnKeyPrefix)},
+                              .changeDeadline = this->adapter.deployment.changeDeadline},
         this->log);
     daemon::ConfigurationCallbacks callbacks;
     callbacks.isRelay = [this] { return this->isRelay(); };
@@ -49,7 +48,7 @@
             .field("reason", reason);
     };
     daemon::ConfigurationOptions options;
-    options.watchSilence = MetadataSilence;
+    options.watchSilence = this->source->longestSilence();
     options.retryInterval = MetadataRetry;
     options.seed = core::stableHash(this->adapter.deployment.daemonId);
     this->metadata = std::make_shared<daemon::ConfigurationService>(
--- a/gateway/metadatasource.cpp
+++ b/gateway/metadatasource.cpp
@@ -16,9 +16,11 @@
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 
-/// Timeout of a watch without changes. It bounds how long a hanging watch goes undetected; each expiry costs one call
-/// of every relay.
-constexpr std::chrono::milliseconds WatchWait{8'000};
+/// Part of the change deadline for which a watch waits without changes. With the margin for the response and the time
+/// in which a change spreads, a watch that hangs is replaced within the deadline.
+constexpr int WatchWaitDivisor = 2;
+/// Time allowed for the response to a watch beyond the requested wait.
+constexpr std::chrono::milliseconds WatchResponseMargin{1'000};
 /// A working store answers within this time. The timeout is short because all callers of a fleet that has just started
 /// wait for the first successful read.
 constexpr std::chrono::milliseconds ReadTimeout{700};
@@ -30,11 +32,11 @@
 
 MetadataSource::MetadataSource(net::Executor executor,
                                std::shared_ptr<MetadataStore> store,
-                               std::vector<std::string> prefixes,
+                               MetadataSourceOptions options,
                                telemetry::DecisionLog &log)
     : executor(std::move(executor))
     , store(std::move(store))
-    , prefixes(std::move(prefixes))
+    , options(std::move(options))
     , log(log)
 {
 }
@@ -69,7 +71,9 @@
     while (true) {
         MetadataPage page;
         try {
-            page = co_await this->store->watch(std::string(), static_cast<std::uint64_t>(revision), WatchWait);
+            const core::Milliseconds wait = this->options.changeDeadline / WatchWaitDivisor;
+            page = co_await this->store->watch(
+                std::string(), static_cast<std::uint64_t>(revision), wait, wait + WatchResponseMargin);
         } catch (const core::Error &error) {
             this->recordLoss(error.message);
             co_return daemon::FollowEnd::Lost;
@@ -110,7 +114,8 @@
 
 bool MetadataSource::isFollowed(std::string_view key) const
 {
-    return std::ranges::any_of(this->prefixes, [key](const std::string &prefix) { return key.starts_with(prefix); });
+    return std::ranges::any_of(this->options.prefixes,
+                               [key](const std::string &prefix) { return key.starts_with(prefix); });
 }
 
 void MetadataSource::setWatchers(std::size_t daemons)
@@ -118,6 +123,11 @@
     this->watchers = std::max<std::size_t>(1, daemons);
 }
 
+core::Milliseconds MetadataSource::longestSilence() const
+{
+    return this->options.changeDeadline / WatchWaitDivisor + WatchResponseMargin + LongestPause;
+}
+
 std::optional<core::TimePoint> MetadataSource::lastContact() const
 {
     return this->contact;
@@ -136,8 +146,7 @@
 {
     if (this->reachable) {
         this->reachable = false;
-        const core::Duration silence
-            = this->contact ? core::Clock::now() - *this->contact : core::Duration::zero();
+        const core::Duration silence = this->contact ? core::Clock::now() - *this->contact : core::Duration::zero();
         this->log.line("store_lost", telemetry::LogLevel::Warning)
             .field("reason", reason)
             .field("silence_ms", core::toMilliseconds(silence));
--- a/gateway/metadatasource.h
+++ b/gateway/metadatasource.h
@@ -11,14 +11,21 @@
 
 namespace endiveshore::gateway {
 
+struct MetadataSourceOptions
+{
+    std::vector<std::string> prefixes; ///< Keys that begin with one of these are reported.
+    /// Time in which a change must be in force. A watch on a connection that has gone silent is replaced well before
+    /// it has passed.
+    core::Milliseconds changeDeadline{4'000};
+};
+
 /// Reads and watches the daemons' keys in the platform's metadata store. Runs on the control thread.
 class MetadataSource : public daemon::ConfigurationSource
 {
 public:
-    /// Reports keys that begin with one of @p prefixes.
     MetadataSource(net::Executor executor,
                    std::shared_ptr<MetadataStore> store,
-                   std::vector<std::string> prefixes,
+                   MetadataSourceOptions options,
                    telemetry::DecisionLog &log);
 
     net::awaitable<daemon::ConfigurationSnapshot> read() override;
@@ -28,6 +35,9 @@
     /// longer between two watches.
     void setWatchers(std::size_t daemons);
 
+    /// Longest time between two answers of the store to a watch that works.
+    core::Milliseconds longestSilence() const;
+
     /// Time of the store's last answer; nothing if it never answered.
     std::optional<core::TimePoint> lastContact() const;
 
@@ -39,7 +49,7 @@
 
     net::Executor executor;
     std::shared_ptr<MetadataStore> store;
-    std::vector<std::string> prefixes;
+    MetadataSourceOptions options;
     telemetry::DecisionLog &log;
     std::size_t watchers = 1;
     std::optional<core::TimePoint> contact;
--- a/gateway/metadatastore.h
+++ b/gateway/metadatastore.h
@@ -56,9 +56,10 @@
     /// Returns one page of the items whose keys begin with @p prefix, after the key @p after.
     virtual net::awaitable<MetadataPage> range(std::string prefix, std::string after, core::Duration timeout) = 0;
 
-    /// Returns the changes after @p revision to keys that begin with @p prefix; waits up to @p wait for the first
-    /// change.
-    virtual net::awaitable<MetadataPage> watch(std::string prefix, std::uint64_t revision, core::Milliseconds wait) = 0;
+    /// Returns the changes after @p revision to keys that begin with @p prefix; the store waits up to @p wait for the
+    /// first change. The call fails if it is not answered within @p timeout.
+    virtual net::awaitable<MetadataPage>
+    watch(std::string prefix, std::uint64_t revision, core::Milliseconds wait, core::Duration timeout) = 0;
 
     /// Compare-and-swap: applies all of @p changes if all of their conditions hold, otherwise none.
     virtual net::awaitable<MetadataSwap> swap(std::vector<MetadataChange> changes, core::Duration timeout) = 0;
--- a/tests/gateway/fakemetadatastore.h
+++ b/tests/gateway/fakemetadatastore.h
@@ -27,6 +27,7 @@
     std::size_t pageSize = 500; ///< Maximum number of items in a page.
     std::function<void()> onPage; ///< Called after each page of a range read.
     int watches = 0;
+    bool longPolls = false; ///< Watches without changes wait.
 
     net::awaitable<MetadataPage> range(std::string prefix, std::string after, core::Duration) override
     {
@@ -48,12 +49,29 @@
         co_return page;
     }
 
-    /// Returns the changes, or no changes, after the answer time of a store.
-    net::awaitable<MetadataPage> watch(std::string, std::uint64_t after, core::Milliseconds) override
+    /// Returns the changes after the answer time of a store. Without changes, returns at once, or after @p wait if
+    /// longPolls is set.
+    net::awaitable<MetadataPage>
+    watch(std::string, std::uint64_t after, core::Milliseconds wait, core::Duration timeout) override
     {
         constexpr std::chrono::milliseconds AnswerTime{5};
-        boost::asio::steady_timer pause(co_await boost::asio::this_coro::executor, AnswerTime);
-        co_await pause.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+        const core::TimePoint start = core::Clock::now();
+        const int openedAt = this->silences;
+        boost::asio::steady_timer pause(co_await boost::asio::this_coro::executor);
+        while (true) {
+            pause.expires_after(AnswerTime);
+            co_await pause.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+            const core::Duration waited = core::Clock::now() - start;
+            if (openedAt != this->silences) {
+                if (waited < timeout) {
+                    continue;
+                }
+                throw core::Error(core::ResultCode::StoreUnavailable, "silent connection");
+            }
+            if (!this->longPolls || waited >= wait || this->revision > after || this->down) {
+                break;
+            }
+        }
         ++this->watches;
         this->failIfDown();
         if (after < this->forgottenUpTo) {
@@ -68,6 +86,12 @@
         co_return page;
     }
 
+    /// The connections of all watches that wait go silent for good; new ones work.
+    void silenceWatches()
+    {
+        ++this->silences;
+    }
+
     /// Writes a key, or removes it if @p value is empty, as an operator or a server would.
     void put(const std::string &key, const std::optional<std::string> &value)
     {
@@ -151,6 +175,7 @@
         }
     }
 
+    int silences = 0;
     std::set<std::uint64_t> leases;
     std::vector<MetadataItem> history;
     std::uint64_t forgottenUpTo = 0;
--- a/tests/gateway/test_metadatasource.cpp
+++ b/tests/gateway/test_metadatasource.cpp
@@ -17,6 +17,8 @@
 
 namespace {
 
+constexpr core::Milliseconds ChangeDeadline = 4s;
+
 /// Daemons that follow one in-memory store, directly as relays or through other daemons.
 class MetadataSourceTest : public testing::Test
 {
@@ -39,10 +41,11 @@
     {
         Daemon &daemon = this->daemons[id];
         daemon.isRelay = isRelay;
-        daemon.source = std::make_shared<MetadataSource>(this->context.get_executor(),
-                                                         this->store,
-                                                         std::vector<std::string>{"entries/", "configuration"},
-                                                         this->log);
+        daemon.source = std::make_shared<MetadataSource>(
+            this->context.get_executor(),
+            this->store,
+            MetadataSourceOptions{.prefixes = {"entries/", "configuration"}, .changeDeadline = ChangeDeadline},
+            this->log);
         daemon::ConfigurationCallbacks callbacks;
         callbacks.isRelay = [&daemon] { return daemon.isRelay; };
         callbacks.peers = [] { return std::vector<std::string>(); };
@@ -121,6 +124,23 @@
     EXPECT_EQ(this->value(daemon, "status/a"), "-");
 }
 
+// Guards against a change that is in force nowhere in time since all watches were open on connections that went silent.
+TEST_F(MetadataSourceTest, ChangeBehindSilentWatchesIsInForceWithinItsDeadline)
+{
+    this->store->longPolls = true;
+    this->store->put("configuration", "1");
+    const Daemon &relay = this->start("a", true);
+    const Daemon &other = this->start("b", true);
+    this->runUntil(
+        [&] { return this->value(relay, "configuration") == "1" && this->value(other, "configuration") == "1"; });
+    this->store->silenceWatches();
+    this->store->put("configuration", "2");
+    const core::TimePoint changedAt = core::Clock::now();
+    this->runUntil(
+        [&] { return this->value(relay, "configuration") == "2" && this->value(other, "configuration") == "2"; });
+    EXPECT_LT(core::Clock::now() - changedAt, ChangeDeadline);
+}
+
 // Guards against a daemon that keeps outdated entries after the store has dropped the history that its watch continues
 // from.
 TEST_F(MetadataSourceTest, LostHistoryIsReadAnew)
--- a/tests/platform/test_kvstore.cpp
+++ b/tests/platform/test_kvstore.cpp
@@ -118,17 +118,17 @@
         const MetadataPage before = co_await client.range("es/", "", CallTimeout);
         store.put("es/one", "1");
         store.put("es/one", std::nullopt);
-        const MetadataPage changes = co_await client.watch("es/", before.revision, 100ms);
+        const MetadataPage changes = co_await client.watch("es/", before.revision, 100ms, CallTimeout);
         EXPECT_EQ(changes.items.size(), 2U);
         if (changes.items.size() == 2) {
             EXPECT_EQ(changes.items.front().value, "1");
             EXPECT_TRUE(changes.items.back().isRemoved);
         }
-        const MetadataPage quiet = co_await client.watch("es/", changes.revision, 100ms);
+        const MetadataPage quiet = co_await client.watch("es/", changes.revision, 100ms, CallTimeout);
         EXPECT_TRUE(quiet.items.empty());
         store.put("es/two", "2");
         store.forgetHistory();
-        const MetadataPage lost = co_await client.watch("es/", before.revision, 100ms);
+        const MetadataPage lost = co_await client.watch("es/", before.revision, 100ms, CallTimeout);
         EXPECT_TRUE(lost.historyLost);
     });
 }
--- a/tests/sessions/test_sessions.cpp
+++ b/tests/sessions/test_sessions.cpp
@@ -176,6 +176,21 @@
     }
 }
 
+// Guards against a change that reaches no daemon in time since every connection to the store has gone silent.
+TEST_F(Sessions, ChangesAreInForceInTimeAfterStoreConnectionsWentSilent)
+{
+    this->fleet.configure(SessionFleet::Key);
+    this->fleet.platform().runOnThread([](PlatformStandin &platform) { platform.store().silenceConnections(); });
+    this->fleet.configure("another-key");
+    const auto end = std::chrono::steady_clock::now() + ConfigurationLimit;
+    for (std::size_t daemon = 0; daemon < SessionFleet::Daemons; ++daemon) {
+        while (!this->fleet.connect(daemon).start(SessionFleet::PrimaryDatabase, "another-key").succeeded()) {
+            ASSERT_LT(std::chrono::steady_clock::now(), end) << "daemon " << daemon;
+            std::this_thread::sleep_for(PollInterval);
+        }
+    }
+}
+
 // Guards against a malformed entry in the store that stops a daemon or replaces valid data.
 TEST_F(Sessions, MalformedEntriesAreLeftOutAndLogged)
 {
