--- a/tests/platform/test_kvstore.cpp
+++ b/tests/platform/test_kvstore.cpp
@@ -153,6 +153,30 @@
     });
 }
 
+// Guards against renewals that time out one after the other, each on another idle connection that has gone silent.
+TEST(KvStore, OnlyOneCallTimesOutAfterIdleConnectionsWentSilent)
+{
+    runWithStore([](standins::PlatformStore &store, KvStore &client) -> net::awaitable<void> {
+        const std::uint64_t lease = co_await client.grantLease(10s, CallTimeout);
+        const net::Executor executor = co_await asio::this_coro::executor;
+        int answered = 0;
+        constexpr int ParallelCalls = 3;
+        for (int call = 0; call < ParallelCalls; ++call) {
+            asio::co_spawn(executor,
+                           client.renewLease(lease, CallTimeout),
+                           [&answered](const std::exception_ptr &, bool) { ++answered; });
+        }
+        asio::steady_timer timer(executor);
+        while (answered < ParallelCalls) {
+            timer.expires_after(10ms);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        store.silenceConnections();
+        EXPECT_EQ(co_await outcomeOf([&] { return client.renewLease(lease, 300ms); }), core::Outcome::Unknown);
+        EXPECT_EQ(co_await outcomeOf([&] { return client.renewLease(lease, 300ms); }), core::Outcome::Done);
+    });
+}
+
 // Guards against an unknown outcome for a write that the store refused with status 503: such a write has not run, so
 // the client may repeat the write.
 TEST(KvStore, AStoreThatRefusesHasNotCarriedOutTheCall)
