Go on following the store after an entry that cannot be applied

Cause: an exception thrown while entries are applied ended the coroutine that watches the store, or the pull, without a line. The daemon then stayed at its revision for good; a pull that ended so also blocked further pulls from that member. Change: the exception is caught where the entries are handed over, and logged (metadata_not_applied, configuration_not_applied).

--- a/daemon/configservice.cpp
+++ b/daemon/configservice.cpp
@@ -348,7 +348,14 @@
 {
     if (result == confsync::MergeResult::Applied && !this->stopped) {
         this->currentSource = memberId;
-        this->callbacks.revisionRaised(this->configuration);
+        try {
+            this->callbacks.revisionRaised(this->configuration);
+        } catch (const std::exception &error) {
+            // An entry that cannot be used must not end the watch or a pull.
+            if (this->callbacks.onApplyFailed) {
+                this->callbacks.onApplyFailed(error.what());
+            }
+        }
     }
 }
 
--- a/daemon/configservice.h
+++ b/daemon/configservice.h
@@ -49,6 +49,8 @@
     std::function<bool(std::string_view memberId)> isInSameRegion;
     /// Called each time the revision has increased.
     std::function<void(const confsync::EntryStore &entries)> revisionRaised;
+    /// Called when revisionRaised threw an exception. May be empty.
+    std::function<void(std::string_view reason)> onApplyFailed;
     /// Called when a pull from a member failed or its delta could not be applied. May be empty.
     std::function<void(std::string_view memberId, std::string_view reason)> onPullFailed;
 };
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -181,6 +181,11 @@
         return this->exchangeWithPeer(std::move(memberId), "/peer/config", std::move(request));
     };
     callbacks.revisionRaised = [this](const confsync::EntryStore &entries) { this->rebuildCatalogue(entries); };
+    callbacks.onApplyFailed = [this](std::string_view reason) {
+        this->log.line("configuration_not_applied", telemetry::LogLevel::Error)
+            .field("revision", this->configuration->revision())
+            .field("reason", reason);
+    };
     callbacks.onPullFailed = [this](std::string_view memberId, std::string_view reason) {
         this->log.line("configuration_pull_failed", telemetry::LogLevel::Warning)
             .field("member", memberId)
--- a/gateway/gatewaymetadata.cpp
+++ b/gateway/gatewaymetadata.cpp
@@ -41,6 +41,11 @@
         return this->exchangeMetadata(std::move(daemon), std::move(request));
     };
     callbacks.revisionRaised = [this](const confsync::EntryStore &entries) { this->applyMetadata(entries); };
+    callbacks.onApplyFailed = [this](std::string_view reason) {
+        this->log.line("metadata_not_applied", telemetry::LogLevel::Error)
+            .field("revision", this->metadata->revision())
+            .field("reason", reason);
+    };
     callbacks.onPullFailed = [this](std::string_view peer, std::string_view reason) {
         this->log.line("metadata_pull_failed", telemetry::LogLevel::Warning)
             .field("peer", peer)
--- a/tests/daemon/test_configservice.cpp
+++ b/tests/daemon/test_configservice.cpp
@@ -9,6 +9,8 @@
 
 #include <gtest/gtest.h>
 
+#include <stdexcept>
+
 namespace endiveshore::daemon {
 
 using namespace std::chrono_literals;
@@ -19,6 +21,9 @@
 
 const net::TcpEndpoint StoreEndpoint(asio::ip::address_v4::loopback(), 21201);
 
+// Key whose entry no daemon can use.
+constexpr const char *UnusableKey = "/endiveshore/keys/unusable";
+
 // Bound on the time until an accepted document or a withdrawn key takes effect on all daemons.
 constexpr std::chrono::seconds PropagationBound{3};
 
@@ -83,6 +88,9 @@
         callbacks.revisionRaised = [&daemon](const confsync::EntryStore &entries) {
             EXPECT_GT(entries.revision(), daemon.latestRevision);
             daemon.latestRevision = entries.revision();
+            if (entries.find(UnusableKey) != nullptr) {
+                throw std::runtime_error("unusable entry");
+            }
         };
         auto source = std::make_shared<StoreClientSource>(
             daemon.client, StoreClientSourceOptions{.watchSilence = options.watchSilence});
@@ -366,6 +374,24 @@
     });
 }
 
+// Guards against a daemon that stops following the store, or pulling from a member, since it could not use one entry.
+TEST(ConfigurationService, AnEntryThatCannotBeAppliedDoesNotEndFollowing)
+{
+    runFleet([](Fleet &fleet) -> net::awaitable<void> {
+        fleet.add("d1", true);
+        fleet.add("d2", false);
+        co_await waitFor([&] { return fleet.store->calls().openWatches == 1 && fleet.service("d2").loaded(); });
+        fleet.putDirectly(UnusableKey, "x");
+        co_await waitFor([&] { return fleet.value("d1", UnusableKey) == "x"; });
+        fleet.service("d2").onRevisionAnnounced("d1", fleet.service("d1").revision());
+        co_await waitFor([&] { return fleet.value("d2", UnusableKey) == "x"; });
+        fleet.putDirectly("/endiveshore/keys/abc", "granted");
+        co_await waitFor([&] { return fleet.value("d1", "/endiveshore/keys/abc") == "granted"; });
+        fleet.service("d2").onRevisionAnnounced("d1", fleet.service("d1").revision());
+        co_await waitFor([&] { return fleet.value("d2", "/endiveshore/keys/abc") == "granted"; });
+    });
+}
+
 // Guards against a daemon that opens no watch when it becomes a relay, or keeps its watch after it loses the role.
 TEST(ConfigurationService, RelayRoleChanges)
 {
