Let a daemon that cannot pull newer entries watch the store itself

Cause: a daemon that is no relay read the store only at its start. If the members that announce a revision do not answer its pulls, it stayed behind, although the store answered it and the deadline held for it. Change: a daemon that has not reached an announced revision within 1 s watches the store until it has. Result: ConfigurationService.DaemonThatCannotPullReadsTheStore fails before the change (not reached within 3 s) and passes with it.

--- a/daemon/configservice.cpp
+++ b/daemon/configservice.cpp
@@ -98,16 +98,33 @@
     if (this->stopped || revision <= this->configuration.revision()) {
         return;
     }
+    this->trackAnnounced(revision);
     this->addCandidate(
         {.memberId = std::string(memberId), .revision = revision, .notBefore = this->earliestPull(memberId)});
     this->schedulePulls();
 }
 
+void ConfigurationService::trackAnnounced(std::int64_t revision)
+{
+    // While changes follow each other, a daemon is always a little behind; only the oldest missing revision counts.
+    if (this->missingRevision <= this->configuration.revision()) {
+        this->missingRevision = revision;
+        this->missingSince = core::Clock::now();
+    }
+}
+
+bool ConfigurationService::mustWatch() const
+{
+    const bool isBehind = this->missingRevision > this->configuration.revision()
+        && core::Clock::now() - this->missingSince >= this->options.behindLimit;
+    return isBehind || this->callbacks.isRelay();
+}
+
 net::awaitable<void> ConfigurationService::run()
 {
     co_await this->load();
     while (!this->stopped) {
-        if (this->callbacks.isRelay()) {
+        if (this->mustWatch()) {
             co_await this->followStore();
         } else {
             co_await this->pause(this->options.checkInterval);
@@ -198,7 +215,7 @@
         this->notifyIfApplied(result);
     }
     this->watchedRevision = std::max(this->watchedRevision, revision);
-    return !this->stopped && this->callbacks.isRelay();
+    return !this->stopped && this->mustWatch();
 }
 
 net::awaitable<void> ConfigurationService::checkPulls()
--- a/daemon/configservice.h
+++ b/daemon/configservice.h
@@ -33,6 +33,9 @@
     /// delay of any pull by a relay, whose own watch should report the change. With the delay, a change crosses between
     /// regions once per relay instead of once per daemon.
     core::Duration crossRegionDelay = std::chrono::milliseconds(300);
+    /// A daemon that has not reached an announced revision within this time watches the store like a relay until it
+    /// has.
+    core::Duration behindLimit = std::chrono::milliseconds(1'000);
     std::uint64_t seed = 1; ///< Seed of the random retry delays.
 };
 
@@ -116,6 +119,9 @@
     bool applyChanges(std::span<const confsync::EntryChange> changes, std::int64_t revision);
     net::awaitable<void> checkPulls();
     void schedulePulls();
+    /// True if this daemon has to watch the store: as a relay, or since the pulls from other members fail.
+    bool mustWatch() const;
+    void trackAnnounced(std::int64_t revision);
     bool mayStartPull(const Candidate &candidate, core::TimePoint now) const;
     net::awaitable<void> pull(Candidate candidate);
     net::awaitable<bool> pullFrom(std::string memberId);
@@ -138,6 +144,8 @@
     core::TimePoint storeConfirmation = core::TimePoint::min();
     std::int64_t watchedRevision = 0; ///< Store revision up to which the watch has reported all changes.
     std::int64_t appliedRevision = 0; ///< Revision of the last change applied from the watch.
+    std::int64_t missingRevision = 0; ///< Announced revision that this daemon has not reached yet; 0 for none.
+    core::TimePoint missingSince; ///< Time at which missingRevision was announced.
     std::vector<Candidate> candidates;
     std::vector<Pull> pulls; ///< Pulls in flight, at most one per member.
 };
--- a/tests/daemon/test_configservice.cpp
+++ b/tests/daemon/test_configservice.cpp
@@ -392,6 +392,22 @@
     });
 }
 
+// Guards against a daemon that stays behind since it can pull from nobody, although it reaches the store itself.
+TEST(ConfigurationService, DaemonThatCannotPullReadsTheStore)
+{
+    runFleet([](Fleet &fleet) -> net::awaitable<void> {
+        fleet.add("d1", true);
+        fleet.add("d2", false);
+        co_await waitFor([&] { return fleet.store->calls().openWatches == 1 && fleet.service("d2").loaded(); });
+        fleet.daemons.at("d1").failing = true;
+        fleet.putDirectly("/endiveshore/keys/abc", "granted");
+        co_await waitFor([&] { return fleet.value("d1", "/endiveshore/keys/abc") == "granted"; });
+        fleet.service("d2").onRevisionAnnounced("d1", fleet.service("d1").revision());
+        co_await waitFor([&] { return fleet.value("d2", "/endiveshore/keys/abc") == "granted"; });
+        co_await waitFor([&] { return fleet.store->calls().openWatches == 1; });
+    });
+}
+
 // Guards against a daemon that opens no watch when it becomes a relay, or keeps its watch after it loses the role.
 TEST(ConfigurationService, RelayRoleChanges)
 {
