Complete a paged read of the store to one revision

Entries of later pages could be newer than the revision of the first page, which the daemon took as its own, and every other daemon refused its deltas as malformed until its next change from the store. Result: MetadataSourceTest.EntriesReadDuringAChangeCanBePulled fails before the change (nothing pulled within 5 s) and passes with it.

--- a/gateway/metadatasource.cpp
+++ b/gateway/metadatasource.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <map>
 
 namespace endiveshore::gateway {
 
@@ -51,21 +52,49 @@
         while (hasMore) {
             MetadataPage page = co_await this->store->range(std::string(), after, ReadTimeout);
             this->recordContact();
-            // The watch starts at the revision of the first page, so that changes between two pages are seen again
-            // instead of missed.
             revision = std::min(page.revision, revision.value_or(page.revision));
             hasMore = page.hasMore && !page.items.empty();
             after = page.items.empty() ? after : page.items.back().key;
             std::ranges::move(this->changesOf(std::move(page.items)), std::back_inserter(snapshot.entries));
         }
+        snapshot.revision = static_cast<std::int64_t>(revision.value_or(0));
+        const auto isNewer = [&](const confsync::EntryChange &entry) { return entry.version > snapshot.revision; };
+        if (std::ranges::any_of(snapshot.entries, isNewer)) {
+            co_await this->addChangesWhileReading(snapshot);
+        }
     } catch (const core::Error &error) {
         this->recordLoss(error.message);
         throw;
     }
-    snapshot.revision = static_cast<std::int64_t>(revision.value_or(0));
     co_return snapshot;
 }
 
+/// Later pages are newer than the first one. Brings all entries to one revision, at which other daemons may pull them.
+net::awaitable<void> MetadataSource::addChangesWhileReading(daemon::ConfigurationSnapshot &snapshot)
+{
+    MetadataPage page = co_await this->store->watch(
+        std::string(), static_cast<std::uint64_t>(snapshot.revision), ReadTimeout, ReadTimeout);
+    if (page.historyLost) {
+        throw core::Error(core::ResultCode::StoreUnavailable, "the history was lost during a read");
+    }
+    std::map<std::string, confsync::EntryChange, std::less<>> entries;
+    for (confsync::EntryChange &entry : snapshot.entries) {
+        std::string key = entry.key;
+        entries.insert_or_assign(std::move(key), std::move(entry));
+    }
+    for (confsync::EntryChange &change : this->changesOf(std::move(page.items))) {
+        std::string key = change.key;
+        entries.insert_or_assign(std::move(key), std::move(change));
+    }
+    snapshot.entries.clear();
+    for (auto &[key, entry] : entries) {
+        if (!entry.deleted) {
+            snapshot.entries.push_back(std::move(entry));
+        }
+    }
+    snapshot.revision = static_cast<std::int64_t>(page.revision);
+}
+
 net::awaitable<daemon::FollowEnd> MetadataSource::follow(std::int64_t revision, daemon::FollowCallback callback)
 {
     while (true) {
--- a/gateway/metadatasource.h
+++ b/gateway/metadatasource.h
@@ -42,6 +42,7 @@
     std::optional<core::TimePoint> lastContact() const;
 
 private:
+    net::awaitable<void> addChangesWhileReading(daemon::ConfigurationSnapshot &snapshot);
     void recordContact();
     void recordLoss(std::string_view reason);
     bool isFollowed(std::string_view key) const;
--- a/tests/gateway/test_metadatasource.cpp
+++ b/tests/gateway/test_metadatasource.cpp
@@ -114,6 +114,25 @@
     EXPECT_EQ(this->value(daemon, "entries/d"), "old");
 }
 
+// Guards against a daemon from which nobody can pull since an entry of a later page is newer than its revision.
+TEST_F(MetadataSourceTest, EntriesReadDuringAChangeCanBePulled)
+{
+    for (const char *key : {"entries/a", "entries/b", "entries/c", "entries/d"}) {
+        this->store->put(key, "old");
+    }
+    this->store->pageSize = 2;
+    this->store->onPage = [this, pages = 0]() mutable {
+        if (++pages == 1) {
+            this->store->put("entries/d", "new");
+        }
+    };
+    const Daemon &first = this->start("a", false);
+    this->runUntil([&] { return first.service->loaded(); });
+    this->store->down = true;
+    const Daemon &second = this->start("b", true);
+    this->runUntil([&] { return this->value(second, "entries/d") == "new"; });
+}
+
 // Guards against following keys of other writers, whose changes would raise the revision of the followed entries.
 TEST_F(MetadataSourceTest, KeysOfOthersAreLeftOut)
 {
