--- a/tests/platform/test_documents.cpp
+++ b/tests/platform/test_documents.cpp
@@ -76,6 +76,34 @@
     }
 }
 
+// Guards against using a server whose entry has numbers out of range, or fields that are missing or of another type.
+TEST(ServerEntry, OddNumbersAndMissingFieldsNameNoServer)
+{
+    const std::string nested = std::string(100'000, '[') + std::string(100'000, ']');
+    const std::vector<std::string> others{replaced(Server, R"("slots":5)", R"("slots":4294967296)"),
+                                          replaced(Server, R"("slots":5)", R"("slots":4294967301)"),
+                                          replaced(Server, R"("slots":5)", R"("slots":1e400)"),
+                                          replaced(Server, R"("slots":5)", R"("slots":5.5)"),
+                                          replaced(Server, R"("slots":5)", R"("slots":-5)"),
+                                          replaced(Server, R"("seq":4)", R"("seq":99999999999999999999)"),
+                                          replaced(Server, R"("seq":4)", R"("seq":"4")"),
+                                          replaced(Server, R"("cold_left_ms":0)", R"("cold_left_ms":null)"),
+                                          replaced(Server, R"("born":17)", R"("born":1e30)"),
+                                          replaced(Server, R"("born":17)", R"("born":[])"),
+                                          replaced(Server, ":80\"", ":65536\""),
+                                          replaced(Server, ":80\"", ":0\""),
+                                          replaced(Server, ":80\"", ":-1\""),
+                                          replaced(Server, R"("zone":"z1",)", ""),
+                                          replaced(Server, R"("version":"v1")", R"("version":{})"),
+                                          replaced(Server, R"("born":17)", R"("other":)" + nested),
+                                          nested};
+    for (const std::string &text : others) {
+        EXPECT_FALSE(readServer("servers/i-1", text, 9)) << text.substr(0, 200);
+    }
+    EXPECT_FALSE(readServer("servers/i 1\r\nSTART", Server, 9));
+    EXPECT_TRUE(readServer("servers/i-1", replaced(Server, R"(,"born":17)", ""), 9));
+}
+
 TEST(ConfigurationDocument, RoutesKeysAndLimitsAreRead)
 {
     const auto configuration = readConfiguration(
--- a/tests/sessions/sessionfleet.cpp
+++ b/tests/sessions/sessionfleet.cpp
@@ -13,6 +13,7 @@
 #include <fstream>
 #include <iterator>
 #include <thread>
+#include <tuple>
 
 #include <unistd.h>
 
@@ -125,7 +126,18 @@
 {
     this->standin->runOnThread([](PlatformStandin &standin) {
         constexpr std::string_view Malformed = "{\"address\":";
-        standin.store().put(std::string(platform::ServerPrefix) + "server-9", std::string(Malformed));
+        const std::string server = std::string(platform::ServerPrefix) + "server-";
+        standin.store().put(server + "9", std::string(Malformed));
+        constexpr std::size_t Depth = 100'000;
+        standin.store().put(server + "nested", std::string(Depth, '[') + std::string(Depth, ']'));
+        for (const auto &[name, address, slots] : {std::tuple("large", "127.0.0.9:80", "1e400"),
+                                                   std::tuple("wrapped", "127.0.0.9:80", "4294967296"),
+                                                   std::tuple("port", "127.0.0.9:65536", "5")}) {
+            standin.store().put(server + name,
+                                "{\"service\":\"" + std::string(Service) + "\",\"address\":\"" + address
+                                    + "\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":" + slots
+                                    + ",\"state\":\"ready\",\"cold_left_ms\":0,\"db_role\":\"primary\",\"seq\":1}");
+        }
         standin.store().put(gateway::DaemonLease::registrationPrefix() + "front-9", std::string(Malformed));
         standin.store().put(std::string(platform::ConfigurationKey), std::string(Malformed));
     });
--- a/tests/sessions/sessionfleet.h
+++ b/tests/sessions/sessionfleet.h
@@ -42,7 +42,8 @@
     /// True once the daemon has logged @p event.
     bool hasLogged(std::size_t index, std::string_view event) const;
 
-    /// Writes malformed values to the keys of a server, of a daemon's registration and of the configuration.
+    /// Writes malformed values to the keys of a daemon's registration and of the configuration, and entries of servers
+    /// that are malformed, deeply nested, or have numbers or ports out of range.
     void writeMalformedEntries();
 
     /// Writes a new version of the configuration, in which the workspace has only the API key @p key.
--- a/tests/sessions/test_sessions.cpp
+++ b/tests/sessions/test_sessions.cpp
@@ -211,6 +211,17 @@
         ASSERT_TRUE(caller.start(SessionFleet::PrimaryDatabase, SessionFleet::Key).succeeded()) << daemon;
         const std::string item = "item-" + std::to_string(daemon);
         EXPECT_TRUE(caller.query("w" + item, "WRITE " + item + " value").succeeded());
+        EXPECT_EQ(this->fleet.logOf(daemon).find("event=server_changed daemon=front-" + std::to_string(daemon + 1)
+                                                 + " server=server-wrapped"),
+                  std::string::npos);
+    }
+    // The daemons have to go on following the store.
+    this->fleet.configure("another-key");
+    const auto follows = [this](std::size_t daemon) {
+        return this->fleet.connect(daemon).start(SessionFleet::PrimaryDatabase, "another-key").succeeded();
+    };
+    for (std::size_t daemon = 0; daemon < SessionFleet::Daemons; ++daemon) {
+        EXPECT_TRUE(Deployment::waitUntil([&] { return follows(daemon); }, ConfigurationLimit)) << daemon;
     }
 }
 
