Close silent peer connections of the control thread as soon as those of statements

Callers saw: nothing reported; part of the same class as the silent watches. Cause: the pulls of newer entries used connections that were given up 2 s after the silence, later than the timeout of a pull (1.5 s), so a first pull on a silent connection always failed. Change: both clients of other daemons share their options (ping after 300 ms, 300 ms for its answer, 400 ms to connect).

--- a/gateway/gatewaydaemon.cpp
+++ b/gateway/gatewaydaemon.cpp
@@ -5,6 +5,7 @@
 #include "core/hashing.h"
 #include "core/json.h"
 #include "daemon/daemondetail.h"
+#include "gateway/peeroptions.h"
 #include "membership/homeorder.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -67,7 +68,7 @@
                                                         this->primarySearch->onNotPrimary(service, server);
                                                     });
                                      }})
-    , peers(this->context.get_executor())
+    , peers(this->context.get_executor(), peerClientOptions())
     , mirror(this->adapter.format,
              MetadataCallbacks{.onServers = [this] { this->applyServers(); },
                                .onOwnEntry = [this](const OwnEntry &entry) { this->applyOwnEntry(entry); },
--- /dev/null
+++ b/gateway/peeroptions.cpp
@@ -0,0 +1,22 @@
+#include "gateway/peeroptions.h"
+
+namespace endiveshore::gateway {
+
+namespace {
+
+/// A peer that does not accept a connection within this time is avoided.
+constexpr std::chrono::milliseconds PeerConnectTimeout{400};
+constexpr std::chrono::milliseconds PeerPing{300};
+
+}
+
+net::PeerClientOptions peerClientOptions()
+{
+    net::PeerClientOptions options;
+    options.connectTimeout = PeerConnectTimeout;
+    options.session.pingAfter = PeerPing;
+    options.session.pingTimeout = PeerPing;
+    return options;
+}
+
+}
--- a/gateway/workrouter.cpp
+++ b/gateway/workrouter.cpp
@@ -2,6 +2,7 @@
 
 #include "core/error.h"
 #include "core/json.h"
+#include "gateway/peeroptions.h"
 #include "gateway/workmessage.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -32,9 +33,6 @@
 constexpr std::string_view AllServers = "*";
 /// Time for the round trip to another daemon, added to the timeouts of the unit itself.
 constexpr std::chrono::milliseconds TransitTime{300};
-/// A peer that does not accept a connection within this time is avoided.
-constexpr std::chrono::milliseconds PeerConnectTimeout{400};
-constexpr std::chrono::milliseconds PeerPing{300};
 /// Percentage of a server's connection limit that its home may use. The rest is for connections of a former home that
 /// the server has not dropped yet, and for daemons that bypass the home.
 constexpr unsigned HomeConnectionPercent = 72;
@@ -48,15 +46,6 @@
 /// connections.
 constexpr std::chrono::seconds OtherIdleTimeout{1};
 
-net::PeerClientOptions peerOptions()
-{
-    net::PeerClientOptions options;
-    options.connectTimeout = PeerConnectTimeout;
-    options.session.pingAfter = PeerPing;
-    options.session.pingTimeout = PeerPing;
-    return options;
-}
-
 /// True if the result shows that the server is reachable: the server answered, or the unit only failed to get a slot in
 /// time.
 bool isServerAnswer(const pooling::UnitResult &result)
@@ -83,7 +72,7 @@
 
 WorkRouter::WorkRouter(WorkRouterOptions options)
     : options(std::move(options))
-    , peers(this->options.executor, peerOptions())
+    , peers(this->options.executor, peerClientOptions())
 {
 }
 
