Try a server that swallowed a statement with one read at a time

Cause: a failed server was left out of read plans for 1 s, then every session of the daemon tried it again at once. Change: after that second only one statement at a time goes to the server until it has answered (mayRead).

--- a/daemon/serverobservations.h
+++ b/daemon/serverobservations.h
@@ -22,6 +22,10 @@
     int active = 0; ///< Statements sent by this thread and not yet answered.
 };
 
+/// True if reads may be sent to the server. After a failed attempt the server is left out for a while, and then tried
+/// by one statement at a time until it has answered, so that a server that swallows statements holds up few of them.
+bool mayRead(const ServerObservation &observation, core::TimePoint now);
+
 /// Observations by server key.
 using ServerObservations = std::unordered_map<std::string, ServerObservation>;
 
--- a/daemon/statementrouter.cpp
+++ b/daemon/statementrouter.cpp
@@ -21,8 +21,6 @@
 constexpr core::Milliseconds ViewPollInterval{5};
 constexpr core::Milliseconds FirstRetryDelay{25};
 constexpr core::Milliseconds LongestRetryDelay{400};
-// A failed server is left out of read plans for this long; the failure may be temporary.
-constexpr core::Milliseconds FailureMemory{1'000};
 
 bool isRetryable(const core::Error &error)
 {
@@ -318,8 +316,7 @@
         const auto observed = this->observations.find(key);
         if (observed != this->observations.end()) {
             const ServerObservation &observation = observed->second;
-            const bool failed = observation.failedAt != core::TimePoint();
-            candidate.reachable = !failed || now - observation.failedAt > FailureMemory;
+            candidate.reachable = mayRead(observation, now);
             candidate.appliedPosition = observation.applied;
             candidate.termStarts = observation.termStarts;
             candidate.lag = observation.lag;
