--- a/tests/sessions/sessionfleet.cpp
+++ b/tests/sessions/sessionfleet.cpp
@@ -27,9 +27,10 @@
 constexpr std::chrono::milliseconds PollInterval{20};
 constexpr std::chrono::milliseconds StartLimit{10'000};
 constexpr std::string_view Network = "127.0.0.";
+constexpr std::size_t DataCentres = 3;
 constexpr int FirstDaemonHost = 11;
-constexpr int FirstServerHost = 21;
-constexpr int PlatformHost = 31;
+constexpr int FirstServerHost = 201;
+constexpr int PlatformHost = 211;
 
 // Below the range that Linux uses for outgoing connections and above the ports of the other process tests.
 constexpr std::uint16_t FirstPort = 30'100;
@@ -45,6 +46,8 @@
 constexpr int PeerOffset = 5;
 constexpr int LastPeerOffset = 12;
 
+constexpr std::string_view MalformedEntry = "{\"address\":";
+
 std::uint16_t nextPort()
 {
     static std::uint16_t fleet = 0;
@@ -68,9 +71,10 @@
 
 }
 
-SessionFleet::SessionFleet()
-    : directory(::testing::TempDir() + "sessions-" + std::to_string(::getpid()))
-    , port(nextPort())
+SessionFleet::SessionFleet(std::size_t daemonCount, std::uint16_t firstPort)
+    : daemonCount(daemonCount)
+    , directory(::testing::TempDir() + "sessions-" + std::to_string(::getpid()))
+    , port(firstPort == 0 ? nextPort() : firstPort)
 {
     std::filesystem::create_directories(this->directory);
     LineDatabaseOptions database{.service = std::string(Service)};
@@ -98,10 +102,10 @@
 
 void SessionFleet::start()
 {
-    for (std::size_t index = 0; index < Daemons; ++index) {
+    for (std::size_t index = 0; index < this->daemonCount; ++index) {
         this->startDaemon(index);
     }
-    for (std::size_t index = 0; index < Daemons; ++index) {
+    for (std::size_t index = 0; index < this->daemonCount; ++index) {
         ASSERT_TRUE(this->waitUntilReady(index, StartLimit)) << "daemon " << index;
     }
 }
@@ -123,11 +127,19 @@
 }
 
 void SessionFleet::writeMalformedEntries()
+{
+    this->writeMalformedServers();
+    this->standin->runOnThread([](PlatformStandin &standin) {
+        standin.store().put(gateway::DaemonLease::registrationPrefix() + "front-9", std::string(MalformedEntry));
+        standin.store().put(std::string(platform::ConfigurationKey), std::string(MalformedEntry));
+    });
+}
+
+void SessionFleet::writeMalformedServers()
 {
     this->standin->runOnThread([](PlatformStandin &standin) {
-        constexpr std::string_view Malformed = "{\"address\":";
         const std::string server = std::string(platform::ServerPrefix) + "server-";
-        standin.store().put(server + "9", std::string(Malformed));
+        standin.store().put(server + "9", std::string(MalformedEntry));
         constexpr std::size_t Depth = 100'000;
         standin.store().put(server + "nested", std::string(Depth, '[') + std::string(Depth, ']'));
         for (const auto &[name, address, slots] : {std::tuple("large", "127.0.0.9:80", "1e400"),
@@ -138,8 +150,6 @@
                                     + "\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":" + slots
                                     + ",\"state\":\"ready\",\"cold_left_ms\":0,\"db_role\":\"primary\",\"seq\":1}");
         }
-        standin.store().put(gateway::DaemonLease::registrationPrefix() + "front-9", std::string(Malformed));
-        standin.store().put(std::string(platform::ConfigurationKey), std::string(Malformed));
     });
 }
 
@@ -147,7 +157,7 @@
 {
     const int host = FirstDaemonHost + static_cast<int>(index);
     const std::string name = daemonName(index);
-    const std::string dataCentre = "z" + std::to_string(index + 1);
+    const std::string dataCentre = "z" + std::to_string(index % DataCentres + 1);
     const std::string settings = this->fileOf(index, ".conf");
     std::ofstream(settings) << platform::standins::settingsText(
         {.id = name,
@@ -190,6 +200,11 @@
     return tools::Deployment::waitUntil([&] { return this->isReady(index); }, limit);
 }
 
+boost::asio::ip::address SessionFleet::addressOf(std::size_t index) const
+{
+    return boost::asio::ip::make_address(address(FirstDaemonHost + static_cast<int>(index)));
+}
+
 LineCaller SessionFleet::connect(std::size_t index) const
 {
     return LineCaller(endpoint(FirstDaemonHost + static_cast<int>(index), this->port + CallerOffset));
--- a/tests/sessions/sessionfleet.h
+++ b/tests/sessions/sessionfleet.h
@@ -12,7 +12,7 @@
 
 namespace endiveshore::tests {
 
-/// Three daemons as child processes, and a stand-in platform with one database of three servers.
+/// Daemons as child processes, three if not told otherwise, and a stand-in platform with one database of three servers.
 class SessionFleet
 {
 public:
@@ -24,7 +24,9 @@
     static constexpr std::string_view Workspace = "alpha";
     static constexpr std::chrono::milliseconds Grace{6'000}; ///< Stop grace of the daemons.
 
-    SessionFleet();
+    /// Uses ports from @p firstPort on; 0 for the next free range of this process. The daemons take turns in three data
+    /// centres.
+    explicit SessionFleet(std::size_t daemonCount = Daemons, std::uint16_t firstPort = 0);
 
     platform::standins::PlatformStandin &platform();
     tools::ChildProcess &daemon(std::size_t index);
@@ -35,6 +37,7 @@
     bool isReady(std::size_t index) const;
     bool waitUntilReady(std::size_t index, std::chrono::milliseconds limit) const;
     LineCaller connect(std::size_t index) const;
+    boost::asio::ip::address addressOf(std::size_t index) const;
 
     /// Contents of the daemon's log.
     std::string logOf(std::size_t index) const;
@@ -42,10 +45,13 @@
     /// True once the daemon has logged @p event.
     bool hasLogged(std::size_t index, std::string_view event) const;
 
-    /// Writes malformed values to the keys of a daemon's registration and of the configuration, and entries of servers
-    /// that are malformed, deeply nested, or have numbers or ports out of range.
+    /// Writes malformed values to the keys of a daemon's registration and of the configuration, and the entries of
+    /// writeMalformedServers().
     void writeMalformedEntries();
 
+    /// Writes entries of servers that are malformed, deeply nested, or have numbers or ports out of range.
+    void writeMalformedServers();
+
     /// Writes a new version of the configuration, in which the workspace has only the API key @p key.
     void configure(std::string_view key);
 
@@ -58,6 +64,7 @@
     void startDaemon(std::size_t index);
     std::string fileOf(std::size_t index, std::string_view extension) const;
 
+    std::size_t daemonCount;
     std::string directory;
     std::uint16_t port;
     std::uint64_t version = 0;
