Check the home again after a connection was opened for a statement

Cause: the home was checked before a connection was taken. Opening and checking one takes time, and a daemon that was suspended then sent the statement although another home had the server's slots by now. Change: single statements and BEGIN check the home once more right before they are sent.

--- a/daemon/serverhome.cpp
+++ b/daemon/serverhome.cpp
@@ -156,12 +156,7 @@
     SlotQueue::Slot slot
         = co_await this->slotQueue.acquire(call.workspace, priorityOf(call), call.deadline - StatementStartMargin);
     // The home may have moved to another daemon during the wait.
-    try {
-        this->requireHome();
-    } catch (const core::Error &) {
-        slot.releaseUnused();
-        throw;
-    }
+    this->requireHomeOrRelease(slot);
     backend::StatementCall request;
     request.term = static_cast<std::int64_t>(call.term);
     if (call.statement.is_object()) {
@@ -178,6 +173,8 @@
         // did not run; if the write itself failed, its outcome would be unknown.
         co_await this->checkConnection(lease.client(), call.deadline);
     }
+    // Opening a connection takes time as well, and the daemon may have been suspended meanwhile.
+    this->requireHomeOrRelease(slot);
     const auto exchange = std::make_shared<Exchange>(this->shared_from_this(), std::move(slot));
     exchange->lease = std::move(lease);
     exchange->request = std::move(request);
@@ -325,6 +322,16 @@
     return this->tracker;
 }
 
+void ServerHome::requireHomeOrRelease(SlotQueue::Slot &slot) const
+{
+    try {
+        this->requireHome();
+    } catch (const core::Error &) {
+        slot.releaseUnused();
+        throw;
+    }
+}
+
 void ServerHome::requireHome() const
 {
     if (this->closed || !this->isHome()) {
--- a/daemon/serverhome.h
+++ b/daemon/serverhome.h
@@ -84,6 +84,7 @@
     StatementAnswer answerOf(const backend::StatementResult &result) const;
     std::shared_ptr<ReplicationTracker> trackerFor(std::uint64_t term);
     void requireHome() const;
+    void requireHomeOrRelease(SlotQueue::Slot &slot) const;
 
     net::Executor executor;
     ServerHomeOptions options;
--- a/daemon/servertransactions.cpp
+++ b/daemon/servertransactions.cpp
@@ -98,6 +98,7 @@
     }
     const std::string id = makeTransactionId(this->options.memberId, this->options.serverKey);
     backend::ConnectionPool::Lease lease = co_await this->pool.acquire(call.deadline - core::Clock::now());
+    this->requireHome();
     auto transaction = std::make_shared<Transaction>(std::move(lease));
     transaction->workspace = call.workspace;
     transaction->term = call.term;
--- a/tests/daemon/test_serverhome.cpp
+++ b/tests/daemon/test_serverhome.cpp
@@ -17,6 +17,8 @@
 constexpr core::Milliseconds ShortDeadline{100};
 constexpr core::Milliseconds LongDeadline{5'000};
 constexpr core::Milliseconds ConnectRetry{20};
+/// Shorter than the servers need for a new connection.
+constexpr core::Milliseconds HomeLoss{50};
 
 StatementCall readCall(core::Duration timeout)
 {
@@ -46,6 +48,29 @@
     }
 }
 
+StatementCall writeCall(core::Duration timeout)
+{
+    StatementCall call = readCall(timeout);
+    call.readOnly = false;
+    call.term = 1;
+    call.requestId = "write-1";
+    call.statement = boost::json::object{{"op", "put"}, {"key", "statue"}, {"value", "waxed"}};
+    return call;
+}
+
+ServerHomeOptions optionsFor(const tests::DatabaseGroup &group)
+{
+    ServerHomeOptions options;
+    options.memberId = "daemon-1";
+    options.serverKey = "rota-db/s1";
+    options.server.service = "rota-db";
+    options.server.database = "rota";
+    options.server.slots = 1;
+    options.server.connectionLimit = 30;
+    options.server.endpoint = net::parseEndpoint(group.address(0));
+    return options;
+}
+
 net::awaitable<void> readTwice(std::shared_ptr<ServerHome> home, int &firstCode, int &secondCode)
 {
     co_await waitUntilServing(home);
@@ -72,16 +97,8 @@
 {
     const tests::DatabaseGroup group(BasePort, {"--slots", "1", "--statement-ms", "400"});
     boost::asio::io_context context(1);
-    ServerHomeOptions options;
-    options.memberId = "daemon-1";
-    options.serverKey = "rota-db/s1";
-    options.server.service = "rota-db";
-    options.server.database = "rota";
-    options.server.slots = 1;
-    options.server.connectionLimit = 30;
-    options.server.endpoint = net::parseEndpoint(group.address(0));
     const auto home = std::make_shared<ServerHome>(
-        context.get_executor(), options, [] { return true; }, [](core::Duration) {});
+        context.get_executor(), optionsFor(group), [] { return true; }, [](core::Duration) {});
     int firstCode = 0;
     int secondCode = 0;
     boost::asio::co_spawn(context, readTwice(home, firstCode, secondCode), [&context](std::exception_ptr failure) {
@@ -95,4 +112,39 @@
     EXPECT_EQ(secondCode, 0);
 }
 
+// Guards against a statement that is sent although the home was lost while a connection was opened for it, as after a
+// suspension of the daemon.
+TEST(ServerHome, StatementIsNotSentAfterTheHomeWasLostDuringConnecting)
+{
+    const tests::DatabaseGroup group(BasePort, {"--slots", "1", "--connect-ms", "150"});
+    boost::asio::io_context context(1);
+    bool isHome = true;
+    const auto serving = std::make_shared<ServerHome>(
+        context.get_executor(), optionsFor(group), [] { return true; }, [](core::Duration) {});
+    const auto home = std::make_shared<ServerHome>(
+        context.get_executor(), optionsFor(group), [&isHome] { return isHome; }, [](core::Duration) {});
+    int code = 0;
+    const auto writeWhileTheHomeIsLost = [&]() -> net::awaitable<void> {
+        co_await waitUntilServing(serving);
+        boost::asio::steady_timer loss(context, HomeLoss);
+        loss.async_wait([&isHome](const boost::system::error_code &) { isHome = false; });
+        try {
+            StatementCall call = writeCall(LongDeadline);
+            co_await home->execute(std::move(call));
+        } catch (const core::Error &error) {
+            code = static_cast<int>(error.code);
+        }
+        serving->close();
+        home->close();
+    };
+    boost::asio::co_spawn(context, writeWhileTheHomeIsLost, [&context](std::exception_ptr failure) {
+        context.stop();
+        if (failure) {
+            std::rethrow_exception(failure);
+        }
+    });
+    context.run();
+    EXPECT_EQ(code, static_cast<int>(core::ResultCode::NotHome));
+}
+
 }
