Accept fractional cold times of servers and bound the wait of a watch from below

Cause: found when the change was read once more. Change: cold_left_ms may be any number from 0 on; a watch waits for at least 500 ms.

--- a/gateway/metadatasource.cpp
+++ b/gateway/metadatasource.cpp
@@ -20,6 +20,8 @@
 /// Part of the change deadline for which a watch waits without changes. With the margin for the response and the time
 /// in which a change spreads, a watch that hangs is replaced within the deadline.
 constexpr int WatchWaitDivisor = 2;
+/// Shortest wait of a watch, since each expiry costs one call of every relay.
+constexpr std::chrono::milliseconds ShortestWatchWait{500};
 /// Time allowed for the response to a watch beyond the requested wait.
 constexpr std::chrono::milliseconds WatchResponseMargin{1'000};
 /// A working store answers within this time. The timeout is short because all callers of a fleet that has just started
@@ -100,7 +102,7 @@
     while (true) {
         MetadataPage page;
         try {
-            const core::Milliseconds wait = this->options.changeDeadline / WatchWaitDivisor;
+            const core::Milliseconds wait = this->watchWait();
             page = co_await this->store->watch(
                 std::string(), static_cast<std::uint64_t>(revision), wait, wait + WatchResponseMargin);
         } catch (const core::Error &error) {
@@ -152,9 +154,14 @@
     this->watchers = std::max<std::size_t>(1, daemons);
 }
 
+core::Milliseconds MetadataSource::watchWait() const
+{
+    return std::max<core::Milliseconds>(this->options.changeDeadline / WatchWaitDivisor, ShortestWatchWait);
+}
+
 core::Milliseconds MetadataSource::longestSilence() const
 {
-    return this->options.changeDeadline / WatchWaitDivisor + WatchResponseMargin + LongestPause;
+    return this->watchWait() + WatchResponseMargin + LongestPause;
 }
 
 std::optional<core::TimePoint> MetadataSource::lastContact() const
--- a/gateway/metadatasource.h
+++ b/gateway/metadatasource.h
@@ -43,6 +43,7 @@
 
 private:
     net::awaitable<void> addChangesWhileReading(daemon::ConfigurationSnapshot &snapshot);
+    core::Milliseconds watchWait() const;
     void recordContact();
     void recordLoss(std::string_view reason);
     bool isFollowed(std::string_view key) const;
--- a/tests/platform/test_documents.cpp
+++ b/tests/platform/test_documents.cpp
@@ -102,6 +102,7 @@
     }
     EXPECT_FALSE(readServer("servers/i 1\r\nSTART", Server, 9));
     EXPECT_TRUE(readServer("servers/i-1", replaced(Server, R"(,"born":17)", ""), 9));
+    EXPECT_TRUE(readServer("servers/i-1", replaced(Server, R"("cold_left_ms":0)", R"("cold_left_ms":0.5)"), 9));
 }
 
 TEST(ConfigurationDocument, RoutesKeysAndLimitsAreRead)
