Number the versions of the soak after that of the fleet

Cause: the fleet starts with version 1, and the soak wrote its own first configuration as version 1 again. Change: the soak begins with version 2.

--- a/tests/soak/configurationsoak.h
+++ b/tests/soak/configurationsoak.h
@@ -59,7 +59,7 @@
     std::multimap<Moment, std::function<void()>> actions;
     std::vector<std::atomic<unsigned>> incarnations;
     std::vector<Moment> busyUntil; ///< Until then the daemon is down or suspended and gets no other fault.
-    std::atomic<std::uint64_t> newest = 0;
+    std::atomic<std::uint64_t> newest = 1; ///< The fleet starts with version 1.
     std::atomic<bool> ended = false;
     std::mutex mutex; ///< Guards the probes.
     ConfigurationHistory history;
