--- a/daemon/configservice.cpp
+++ b/daemon/configservice.cpp
@@ -74,6 +74,11 @@
     return this->configuration;
 }
 
+const std::string &ConfigurationService::revisionSource() const
+{
+    return this->currentSource;
+}
+
 core::TimePoint ConfigurationService::lastStoreConfirmation() const
 {
     return this->storeConfirmation;
@@ -93,16 +98,33 @@
     if (this->stopped || revision <= this->configuration.revision()) {
         return;
     }
+    this->trackAnnounced(revision);
     this->addCandidate(
         {.memberId = std::string(memberId), .revision = revision, .notBefore = this->earliestPull(memberId)});
     this->schedulePulls();
 }
 
+void ConfigurationService::trackAnnounced(std::int64_t revision)
+{
+    // While changes follow each other, a daemon is always a little behind; only the oldest missing revision counts.
+    if (this->missingRevision <= this->configuration.revision()) {
+        this->missingRevision = revision;
+        this->missingSince = core::Clock::now();
+    }
+}
+
+bool ConfigurationService::mustWatch() const
+{
+    const bool isBehind = this->missingRevision > this->configuration.revision()
+        && core::Clock::now() - this->missingSince >= this->options.behindLimit;
+    return isBehind || this->callbacks.isRelay();
+}
+
 net::awaitable<void> ConfigurationService::run()
 {
     co_await this->load();
     while (!this->stopped) {
-        if (this->callbacks.isRelay()) {
+        if (this->mustWatch()) {
             co_await this->followStore();
         } else {
             co_await this->pause(this->options.checkInterval);
@@ -193,7 +215,7 @@
         this->notifyIfApplied(result);
     }
     this->watchedRevision = std::max(this->watchedRevision, revision);
-    return !this->stopped && this->callbacks.isRelay();
+    return !this->stopped && this->mustWatch();
 }
 
 net::awaitable<void> ConfigurationService::checkPulls()
@@ -261,18 +283,33 @@
     json::object request = confsync::deltaRequest(this->configuration);
     json::object message;
     try {
-        message = co_await this->callbacks.exchange(std::move(memberId), std::move(request));
-    } catch (const std::exception &) {
+        message = co_await this->callbacks.exchange(memberId, std::move(request));
+    } catch (const std::exception &error) {
+        this->reportFailedPull(memberId, error.what());
         co_return false;
     }
-    const boost::leaf::result<confsync::Delta> delta = confsync::deltaFromJson(message);
-    if (!delta) {
+    confsync::Delta delta;
+    try {
+        delta = core::valueOrThrow([&message] { return confsync::deltaFromJson(message); });
+    } catch (const core::Error &error) {
+        this->reportFailedPull(memberId, error.message);
         co_return false;
     }
-    this->notifyIfApplied(this->configuration.mergeDelta(delta.value()));
+    const confsync::MergeResult result = this->configuration.mergeDelta(delta);
+    if (result == confsync::MergeResult::Gap) {
+        this->reportFailedPull(memberId, "the delta starts after the own revision");
+    }
+    this->notifyIfApplied(result, memberId);
     co_return true;
 }
 
+void ConfigurationService::reportFailedPull(std::string_view memberId, std::string_view reason) const
+{
+    if (this->callbacks.onPullFailed) {
+        this->callbacks.onPullFailed(memberId, reason);
+    }
+}
+
 void ConfigurationService::addCandidate(Candidate candidate)
 {
     for (Candidate &known : this->candidates) {
@@ -324,10 +361,18 @@
     return std::chrono::duration_cast<core::Duration>(this->options.retryInterval * factor(this->random));
 }
 
-void ConfigurationService::notifyIfApplied(confsync::MergeResult result)
+void ConfigurationService::notifyIfApplied(confsync::MergeResult result, std::string_view memberId)
 {
     if (result == confsync::MergeResult::Applied && !this->stopped) {
-        this->callbacks.revisionRaised(this->configuration);
+        this->currentSource = memberId;
+        try {
+            this->callbacks.revisionRaised(this->configuration);
+        } catch (const std::exception &error) {
+            // An entry that cannot be used must not end the watch or a pull.
+            if (this->callbacks.onApplyFailed) {
+                this->callbacks.onApplyFailed(error.what());
+            }
+        }
     }
 }
 
--- a/daemon/configservice.h
+++ b/daemon/configservice.h
@@ -33,6 +33,9 @@
     /// delay of any pull by a relay, whose own watch should report the change. With the delay, a change crosses between
     /// regions once per relay instead of once per daemon.
     core::Duration crossRegionDelay = std::chrono::milliseconds(300);
+    /// A daemon that has not reached an announced revision within this time watches the store like a relay until it
+    /// has.
+    core::Duration behindLimit = std::chrono::milliseconds(1'000);
     std::uint64_t seed = 1; ///< Seed of the random retry delays.
 };
 
@@ -49,6 +52,10 @@
     std::function<bool(std::string_view memberId)> isInSameRegion;
     /// Called each time the revision has increased.
     std::function<void(const confsync::EntryStore &entries)> revisionRaised;
+    /// Called when revisionRaised threw an exception. May be empty.
+    std::function<void(std::string_view reason)> onApplyFailed;
+    /// Called when a pull from a member failed or its delta could not be applied. May be empty.
+    std::function<void(std::string_view memberId, std::string_view reason)> onPullFailed;
 };
 
 /// Keeps the configuration of one daemon up to date. A relay watches the store; other daemons learn of higher revisions
@@ -73,6 +80,9 @@
     std::int64_t revision() const;
     const confsync::EntryStore &entries() const;
 
+    /// Id of the member from which the current revision was pulled; empty if it was read from the store.
+    const std::string &revisionSource() const;
+
     /// Latest time at which the store confirmed that this daemon knows all changes; TimePoint::min() if it never did.
     core::TimePoint lastStoreConfirmation() const;
 
@@ -109,6 +119,9 @@
     bool applyChanges(std::span<const confsync::EntryChange> changes, std::int64_t revision);
     net::awaitable<void> checkPulls();
     void schedulePulls();
+    /// True if this daemon has to watch the store: as a relay, or since the pulls from other members fail.
+    bool mustWatch() const;
+    void trackAnnounced(std::int64_t revision);
     bool mayStartPull(const Candidate &candidate, core::TimePoint now) const;
     net::awaitable<void> pull(Candidate candidate);
     net::awaitable<bool> pullFrom(std::string memberId);
@@ -117,18 +130,22 @@
     void addSubstituteCandidate(const Candidate &failed);
     net::awaitable<void> pause(core::Duration duration);
     core::Duration nextRetryDelay();
-    void notifyIfApplied(confsync::MergeResult result);
+    void notifyIfApplied(confsync::MergeResult result, std::string_view memberId = {});
+    void reportFailedPull(std::string_view memberId, std::string_view reason) const;
 
     net::Executor executor;
     std::shared_ptr<ConfigurationSource> source;
     ConfigurationOptions options;
     ConfigurationCallbacks callbacks;
     confsync::EntryStore configuration;
+    std::string currentSource; ///< Member that sent the current revision; empty for the store.
     std::mt19937_64 random;
     bool stopped = false;
     core::TimePoint storeConfirmation = core::TimePoint::min();
     std::int64_t watchedRevision = 0; ///< Store revision up to which the watch has reported all changes.
     std::int64_t appliedRevision = 0; ///< Revision of the last change applied from the watch.
+    std::int64_t missingRevision = 0; ///< Announced revision that this daemon has not reached yet; 0 for none.
+    core::TimePoint missingSince; ///< Time at which missingRevision was announced.
     std::vector<Candidate> candidates;
     std::vector<Pull> pulls; ///< Pulls in flight, at most one per member.
 };
--- a/gateway/configuration.h
+++ b/gateway/configuration.h
@@ -60,6 +60,7 @@
     std::map<std::string, std::string, std::less<>> workspaceByKey;
     core::Milliseconds transactionIdleTimeout{}; ///< An open transaction that is idle for this long is rolled back.
     std::size_t maximumLineBytes = 0; ///< Longest line of a caller.
+    std::vector<std::string> ignoredRows; ///< Rows of the document that could not be used, with the reason.
 };
 
 /// A backend server from its own entry in the metadata store.
@@ -97,6 +98,8 @@
     net::TcpEndpoint promotionService;
     core::Milliseconds heartbeat{}; ///< Heartbeat interval of backend servers.
     core::Milliseconds stopGrace{}; ///< Time from the stop signal to the exit of the process.
+    /// Time after its acknowledgement in which a change of the metadata store must be in force.
+    core::Milliseconds changeDeadline{};
     double processorShare = 1; ///< Part of one core that the daemon may use.
     bool checksFences = true; ///< The promotion service refuses orders with an outdated fence.
     std::string text; ///< Settings as read, to detect changes.
--- a/gateway/gatewaymetadata.cpp
+++ b/gateway/gatewaymetadata.cpp
@@ -14,8 +14,6 @@
 
 /// Daemons whose last report is older are not candidates for relays.
 constexpr std::chrono::milliseconds MaximumRelayReportAge{1'200};
-/// If a relay's watch returns nothing for this long, the relay also takes changes from other daemons.
-constexpr std::chrono::milliseconds MetadataSilence{10'000};
 /// Interval between attempts to reach the metadata store, with a jitter of half the interval in both directions.
 constexpr std::chrono::milliseconds MetadataRetry{300};
 
@@ -28,7 +26,8 @@
     this->source = std::make_shared<MetadataSource>(
         executor,
         this->store,
-        std::vector<std::string>{format.configurationKey, format.serverPrefix, std::string(OwnKeyPrefix)},
+        MetadataSourceOptions{.prefixes = {format.configurationKey, format.serverPrefix, std::string(OwnKeyPrefix)},
+                              .changeDeadline = this->adapter.deployment.changeDeadline},
         this->log);
     daemon::ConfigurationCallbacks callbacks;
     callbacks.isRelay = [this] { return this->isRelay(); };
@@ -42,8 +41,19 @@
         return this->exchangeMetadata(std::move(daemon), std::move(request));
     };
     callbacks.revisionRaised = [this](const confsync::EntryStore &entries) { this->applyMetadata(entries); };
+    callbacks.onApplyFailed = [this](std::string_view reason) {
+        this->log.line("metadata_not_applied", telemetry::LogLevel::Error)
+            .field("revision", this->metadata->revision())
+            .field("reason", reason);
+    };
+    callbacks.onPullFailed = [this](std::string_view peer, std::string_view reason) {
+        this->log.line("metadata_pull_failed", telemetry::LogLevel::Warning)
+            .field("peer", peer)
+            .field("revision", this->metadata->revision())
+            .field("reason", reason);
+    };
     daemon::ConfigurationOptions options;
-    options.watchSilence = MetadataSilence;
+    options.watchSilence = this->source->longestSilence();
     options.retryInterval = MetadataRetry;
     options.seed = core::stableHash(this->adapter.deployment.daemonId);
     this->metadata = std::make_shared<daemon::ConfigurationService>(
@@ -101,6 +111,11 @@
     this->lease->onStoreRead();
     this->scheduleView();
     if (this->mirror.configuration() != before) {
+        const std::string &source = this->metadata->revisionSource();
+        this->log.line("configuration_received")
+            .field("version", this->mirror.configuration()->version)
+            .field("revision", entries.revision())
+            .field("source", source.empty() ? std::string_view("store") : std::string_view(source));
         this->sendReport();
     }
 }
--- a/gateway/metadatasource.cpp
+++ b/gateway/metadatasource.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <map>
 
 namespace endiveshore::gateway {
 
@@ -16,9 +17,11 @@
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 
-/// Timeout of a watch without changes. It bounds how long a hanging watch goes undetected; each expiry costs one call
-/// of every relay.
-constexpr std::chrono::milliseconds WatchWait{8'000};
+/// Part of the change deadline for which a watch waits without changes. With the margin for the response and the time
+/// in which a change spreads, a watch that hangs is replaced within the deadline.
+constexpr int WatchWaitDivisor = 2;
+/// Time allowed for the response to a watch beyond the requested wait.
+constexpr std::chrono::milliseconds WatchResponseMargin{1'000};
 /// A working store answers within this time. The timeout is short because all callers of a fleet that has just started
 /// wait for the first successful read.
 constexpr std::chrono::milliseconds ReadTimeout{700};
@@ -30,11 +33,11 @@
 
 MetadataSource::MetadataSource(net::Executor executor,
                                std::shared_ptr<MetadataStore> store,
-                               std::vector<std::string> prefixes,
+                               MetadataSourceOptions options,
                                telemetry::DecisionLog &log)
     : executor(std::move(executor))
     , store(std::move(store))
-    , prefixes(std::move(prefixes))
+    , options(std::move(options))
     , log(log)
 {
 }
@@ -49,27 +52,57 @@
         while (hasMore) {
             MetadataPage page = co_await this->store->range(std::string(), after, ReadTimeout);
             this->recordContact();
-            // The watch starts at the revision of the first page, so that changes between two pages are seen again
-            // instead of missed.
             revision = std::min(page.revision, revision.value_or(page.revision));
             hasMore = page.hasMore && !page.items.empty();
             after = page.items.empty() ? after : page.items.back().key;
             std::ranges::move(this->changesOf(std::move(page.items)), std::back_inserter(snapshot.entries));
         }
+        snapshot.revision = static_cast<std::int64_t>(revision.value_or(0));
+        const auto isNewer = [&](const confsync::EntryChange &entry) { return entry.version > snapshot.revision; };
+        if (std::ranges::any_of(snapshot.entries, isNewer)) {
+            co_await this->addChangesWhileReading(snapshot);
+        }
     } catch (const core::Error &error) {
         this->recordLoss(error.message);
         throw;
     }
-    snapshot.revision = static_cast<std::int64_t>(revision.value_or(0));
     co_return snapshot;
 }
 
+/// Later pages are newer than the first one. Brings all entries to one revision, at which other daemons may pull them.
+net::awaitable<void> MetadataSource::addChangesWhileReading(daemon::ConfigurationSnapshot &snapshot)
+{
+    MetadataPage page = co_await this->store->watch(
+        std::string(), static_cast<std::uint64_t>(snapshot.revision), ReadTimeout, ReadTimeout);
+    if (page.historyLost) {
+        throw core::Error(core::ResultCode::StoreUnavailable, "the history was lost during a read");
+    }
+    std::map<std::string, confsync::EntryChange, std::less<>> entries;
+    for (confsync::EntryChange &entry : snapshot.entries) {
+        std::string key = entry.key;
+        entries.insert_or_assign(std::move(key), std::move(entry));
+    }
+    for (confsync::EntryChange &change : this->changesOf(std::move(page.items))) {
+        std::string key = change.key;
+        entries.insert_or_assign(std::move(key), std::move(change));
+    }
+    snapshot.entries.clear();
+    for (auto &[key, entry] : entries) {
+        if (!entry.deleted) {
+            snapshot.entries.push_back(std::move(entry));
+        }
+    }
+    snapshot.revision = static_cast<std::int64_t>(page.revision);
+}
+
 net::awaitable<daemon::FollowEnd> MetadataSource::follow(std::int64_t revision, daemon::FollowCallback callback)
 {
     while (true) {
         MetadataPage page;
         try {
-            page = co_await this->store->watch(std::string(), static_cast<std::uint64_t>(revision), WatchWait);
+            const core::Milliseconds wait = this->options.changeDeadline / WatchWaitDivisor;
+            page = co_await this->store->watch(
+                std::string(), static_cast<std::uint64_t>(revision), wait, wait + WatchResponseMargin);
         } catch (const core::Error &error) {
             this->recordLoss(error.message);
             co_return daemon::FollowEnd::Lost;
@@ -110,7 +143,8 @@
 
 bool MetadataSource::isFollowed(std::string_view key) const
 {
-    return std::ranges::any_of(this->prefixes, [key](const std::string &prefix) { return key.starts_with(prefix); });
+    return std::ranges::any_of(this->options.prefixes,
+                               [key](const std::string &prefix) { return key.starts_with(prefix); });
 }
 
 void MetadataSource::setWatchers(std::size_t daemons)
@@ -118,6 +152,11 @@
     this->watchers = std::max<std::size_t>(1, daemons);
 }
 
+core::Milliseconds MetadataSource::longestSilence() const
+{
+    return this->options.changeDeadline / WatchWaitDivisor + WatchResponseMargin + LongestPause;
+}
+
 std::optional<core::TimePoint> MetadataSource::lastContact() const
 {
     return this->contact;
@@ -136,7 +175,10 @@
 {
     if (this->reachable) {
         this->reachable = false;
-        this->log.line("store_lost", telemetry::LogLevel::Warning).field("reason", reason);
+        const core::Duration silence = this->contact ? core::Clock::now() - *this->contact : core::Duration::zero();
+        this->log.line("store_lost", telemetry::LogLevel::Warning)
+            .field("reason", reason)
+            .field("silence_ms", core::toMilliseconds(silence));
     }
 }
 
--- a/tests/sessions/test_sessions.cpp
+++ b/tests/sessions/test_sessions.cpp
@@ -176,6 +176,21 @@
     }
 }
 
+// Guards against a change that reaches no daemon in time since every connection to the store has gone silent.
+TEST_F(Sessions, ChangesAreInForceInTimeAfterStoreConnectionsWentSilent)
+{
+    this->fleet.configure(SessionFleet::Key);
+    this->fleet.platform().runOnThread([](PlatformStandin &platform) { platform.store().silenceConnections(); });
+    this->fleet.configure("another-key");
+    const auto end = std::chrono::steady_clock::now() + ConfigurationLimit;
+    for (std::size_t daemon = 0; daemon < SessionFleet::Daemons; ++daemon) {
+        while (!this->fleet.connect(daemon).start(SessionFleet::PrimaryDatabase, "another-key").succeeded()) {
+            ASSERT_LT(std::chrono::steady_clock::now(), end) << "daemon " << daemon;
+            std::this_thread::sleep_for(PollInterval);
+        }
+    }
+}
+
 // Guards against a malformed entry in the store that stops a daemon or replaces valid data.
 TEST_F(Sessions, MalformedEntriesAreLeftOutAndLogged)
 {
@@ -196,6 +211,17 @@
         ASSERT_TRUE(caller.start(SessionFleet::PrimaryDatabase, SessionFleet::Key).succeeded()) << daemon;
         const std::string item = "item-" + std::to_string(daemon);
         EXPECT_TRUE(caller.query("w" + item, "WRITE " + item + " value").succeeded());
+        EXPECT_EQ(this->fleet.logOf(daemon).find("event=server_changed daemon=front-" + std::to_string(daemon + 1)
+                                                 + " server=server-wrapped"),
+                  std::string::npos);
+    }
+    // The daemons have to go on following the store.
+    this->fleet.configure("another-key");
+    const auto follows = [this](std::size_t daemon) {
+        return this->fleet.connect(daemon).start(SessionFleet::PrimaryDatabase, "another-key").succeeded();
+    };
+    for (std::size_t daemon = 0; daemon < SessionFleet::Daemons; ++daemon) {
+        EXPECT_TRUE(Deployment::waitUntil([&] { return follows(daemon); }, ConfigurationLimit)) << daemon;
     }
 }
 
