End a rolled-back transaction whose statement still runs, and leave failing servers out longer

Cause: a caller that gave up a statement of a transaction and rolled back was refused, since the statement was still running; the transaction kept its locks and its place for 10 s, until the idle timeout. And a server that swallows every statement was tried by reads again every second, at each daemon, for two to three seconds each. Change: a rollback ends the transaction with its running statement.

--- a/daemon/serverhome.h
+++ b/daemon/serverhome.h
@@ -65,6 +65,7 @@
         std::uint64_t term = 0;
         core::TimePoint lastUse;
         bool busy = false;
+        bool isRolledBack = false; ///< The caller has rolled it back while a statement was running.
     };
 
     struct Exchange;
@@ -80,7 +81,11 @@
     net::awaitable<void> expireTransactions();
     net::awaitable<void>
     confirm(StatementAnswer &answer, const backend::StatementResult &result, const StatementCall &call);
-    std::shared_ptr<Transaction> useTransaction(const StatementCall &call);
+    /// The open transaction of @p call. Throws core::Error(UnknownTransaction or WorkspaceMismatch).
+    std::shared_ptr<Transaction> findTransaction(const StatementCall &call) const;
+    /// As findTransaction(). Throws core::Error(MalformedRequest) as well if another call of the transaction is
+    /// running.
+    std::shared_ptr<Transaction> useTransaction(const StatementCall &call) const;
     StatementAnswer answerOf(const backend::StatementResult &result) const;
     std::shared_ptr<ReplicationTracker> trackerFor(std::uint64_t term);
     void requireHome() const;
--- a/daemon/serverobservations.h
+++ b/daemon/serverobservations.h
@@ -19,11 +19,16 @@
     std::vector<session::TermStart> termStarts;
     core::TimePoint observedAt; ///< Time of the last answer; TimePoint() if there was none.
     core::TimePoint failedAt; ///< Time of the last failed attempt; TimePoint() if there was none.
+    unsigned failures = 0; ///< Failed attempts since the last answer.
     int active = 0; ///< Statements sent by this thread and not yet answered.
 };
 
-/// True if reads may be sent to the server. After a failed attempt the server is left out for a while, and then tried
-/// by one statement at a time until it has answered, so that a server that swallows statements holds up few of them.
+/// Records a failed attempt at @p now.
+void recordFailure(ServerObservation &observation, core::TimePoint now);
+
+/// True if reads may be sent to the server. After a failed attempt the server is left out for a while, longer with each
+/// further failure, and then tried by one statement at a time until it has answered, so that a server that swallows
+/// statements holds up few of them.
 bool mayRead(const ServerObservation &observation, core::TimePoint now);
 
 /// Observations by server key.
--- a/daemon/servertransactions.cpp
+++ b/daemon/servertransactions.cpp
@@ -72,6 +72,10 @@
     }
     transaction->busy = false;
     transaction->lastUse = core::Clock::now();
+    if (transaction->isRolledBack) {
+        // The server aborts a transaction whose connection closes.
+        transaction->lease.client().close();
+    }
     if (failure) {
         const bool running = exchange && !exchange->finished;
         if (running) {
@@ -140,15 +144,21 @@
 
 net::awaitable<StatementAnswer> ServerHome::rollback(StatementCall call)
 {
-    const std::shared_ptr<Transaction> transaction = this->useTransaction(call);
-    transaction->busy = true;
+    const std::shared_ptr<Transaction> transaction = this->findTransaction(call);
     this->transactions.erase(call.transaction);
-    ConnectionCloser closer(transaction->lease.client());
-    co_await transaction->lease.client().rollback(call.transaction, statementTimeout(call.deadline));
-    closer.dismiss();
     StatementAnswer answer;
     answer.server = this->options.serverKey;
     answer.sessionSafe = false;
+    if (transaction->busy) {
+        // The caller has given up a statement that still runs. The transaction can no longer be committed and ends with
+        // the statement; its locks would otherwise stay until the idle timeout.
+        transaction->isRolledBack = true;
+        co_return answer;
+    }
+    transaction->busy = true;
+    ConnectionCloser closer(transaction->lease.client());
+    co_await transaction->lease.client().rollback(call.transaction, statementTimeout(call.deadline));
+    closer.dismiss();
     co_return answer;
 }
 
@@ -173,7 +183,16 @@
     this->expiryRunning = false;
 }
 
-std::shared_ptr<ServerHome::Transaction> ServerHome::useTransaction(const StatementCall &call)
+std::shared_ptr<ServerHome::Transaction> ServerHome::useTransaction(const StatementCall &call) const
+{
+    std::shared_ptr<Transaction> transaction = this->findTransaction(call);
+    if (transaction->busy) {
+        throw core::Error(core::ResultCode::MalformedRequest, "another call of the transaction is still running");
+    }
+    return transaction;
+}
+
+std::shared_ptr<ServerHome::Transaction> ServerHome::findTransaction(const StatementCall &call) const
 {
     const auto found = this->transactions.find(call.transaction);
     if (found == this->transactions.end()) {
@@ -182,9 +201,6 @@
     if (found->second->workspace != call.workspace) {
         throw core::Error(core::ResultCode::WorkspaceMismatch, "the transaction belongs to another workspace");
     }
-    if (found->second->busy) {
-        throw core::Error(core::ResultCode::MalformedRequest, "another call of the transaction is still running");
-    }
     return found->second;
 }
 
--- a/daemon/statementrouter.cpp
+++ b/daemon/statementrouter.cpp
@@ -256,10 +256,11 @@
         observation.lag = core::Milliseconds(answer.lagMilliseconds);
         observation.termStarts = answer.termStarts;
         observation.failedAt = {};
+        observation.failures = 0;
         co_return answer;
     } catch (const core::Error &error) {
         if (isRetryable(error)) {
-            observation.failedAt = core::Clock::now();
+            recordFailure(observation, core::Clock::now());
         }
         throw;
     }
--- a/tests/daemon/test_serverhome.cpp
+++ b/tests/daemon/test_serverhome.cpp
@@ -147,4 +147,65 @@
     EXPECT_EQ(code, static_cast<int>(core::ResultCode::NotHome));
 }
 
+// Guards against a transaction that keeps its locks and its place until the idle timeout, since its caller gave up a
+// statement and the rollback was refused while that statement was still running.
+TEST(ServerHome, RollbackEndsATransactionWhoseStatementStillRuns)
+{
+    const tests::DatabaseGroup group(BasePort, {"--slots", "2", "--statement-ms", "300"});
+    boost::asio::io_context context(1);
+    const auto home = std::make_shared<ServerHome>(
+        context.get_executor(), optionsFor(group), [] { return true; }, [](core::Duration) {});
+    int rollbackCode = 0;
+    int statementCode = 0;
+    bool isOpenAfterRollback = true;
+    core::Duration nextWrite{};
+    const auto inTransaction = [](std::string transaction) {
+        StatementCall call = writeCall(LongDeadline);
+        call.transaction = std::move(transaction);
+        return call;
+    };
+    const auto rollBackWhileRunning = [&]() -> net::awaitable<void> {
+        co_await waitUntilServing(home);
+        StatementCall beginCall = writeCall(LongDeadline);
+        const StatementAnswer begun = co_await home->transact(TransactionStep::Begin, std::move(beginCall));
+        const std::string transaction(begun.result.as_string());
+        const auto runStatement = [&home, &inTransaction, transaction]() -> net::awaitable<void> {
+            StatementCall call = inTransaction(transaction);
+            co_await home->execute(std::move(call));
+        };
+        boost::asio::co_spawn(
+            context, runStatement, [&statementCode](std::exception_ptr failure) { statementCode = failure ? 1 : 0; });
+        boost::asio::steady_timer pause(context, HomeLoss);
+        co_await pause.async_wait(boost::asio::use_awaitable);
+        try {
+            StatementCall call = inTransaction(transaction);
+            co_await home->transact(TransactionStep::Rollback, std::move(call));
+        } catch (const core::Error &error) {
+            rollbackCode = static_cast<int>(error.code);
+        }
+        isOpenAfterRollback = home->holdsTransaction(transaction);
+        // The lock of the first transaction ends with its statement.
+        const core::TimePoint start = core::Clock::now();
+        StatementCall secondBegin = writeCall(LongDeadline);
+        const StatementAnswer second = co_await home->transact(TransactionStep::Begin, std::move(secondBegin));
+        pause.expires_after(core::Milliseconds(400));
+        co_await pause.async_wait(boost::asio::use_awaitable);
+        StatementCall secondWrite = inTransaction(std::string(second.result.as_string()));
+        co_await home->execute(std::move(secondWrite));
+        nextWrite = core::Clock::now() - start;
+        home->close();
+    };
+    boost::asio::co_spawn(context, rollBackWhileRunning, [&context](std::exception_ptr failure) {
+        context.stop();
+        if (failure) {
+            std::rethrow_exception(failure);
+        }
+    });
+    context.run();
+    EXPECT_EQ(rollbackCode, 0);
+    EXPECT_EQ(statementCode, 0);
+    EXPECT_FALSE(isOpenAfterRollback);
+    EXPECT_LT(nextWrite, core::Milliseconds(2'000));
+}
+
 }
