Leave out daemons whose address cannot be used

Cause: an address that is not of the form ip:port, heard by gossip, threw while a daemon built its view of the fleet, and the exception ended the process. Change: net::tryParseEndpoint() returns nothing for such an address, and the own interface leaves the daemon out.

--- a/daemon/fleetviewbuilder.cpp
+++ b/daemon/fleetviewbuilder.cpp
@@ -101,8 +101,11 @@
         if (member.state != membership::MemberState::Left) {
             view->knownMembers.push_back(member.id);
         }
-        if (member.state == membership::MemberState::Alive || member.state == membership::MemberState::Suspect) {
-            view->members.emplace(member.id, net::parseEndpoint(member.address));
+        const std::optional<net::TcpEndpoint> endpoint = net::tryParseEndpoint(member.address);
+        const bool isLive
+            = member.state == membership::MemberState::Alive || member.state == membership::MemberState::Suspect;
+        if (isLive && endpoint) {
+            view->members.emplace(member.id, *endpoint);
             if (!state.draining.contains(member.id)) {
                 view->servingMembers.push_back(member.id);
             }
--- a/net/asyncio.h
+++ b/net/asyncio.h
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <optional>
 #include <string_view>
 
 /// Aliases for the Boost.Asio types that appear in public interfaces.
@@ -17,4 +18,7 @@
 /// Parses "ip:port". Throws core::Error(InvalidSetting) for anything else; host names are not resolved.
 TcpEndpoint parseEndpoint(std::string_view text);
 
+/// As parseEndpoint(), for addresses from messages; nothing if @p text is not of that form.
+std::optional<TcpEndpoint> tryParseEndpoint(std::string_view text);
+
 }
