Let only the home of a server and its substitutes connect in a large fleet

Cause: the home may open 72 % of a server's connections and any other daemon 9 %. At 69 daemons with 35 connections these parts add up to 25 + 68 x 3 = 229. As soon as a home was out of reach, every daemon opened connections of its own. Change: ConnectionPlan decides from the limit and the number of daemons.

--- a/gateway/workrouter.cpp
+++ b/gateway/workrouter.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace endiveshore::gateway {
 
@@ -24,8 +25,8 @@
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 
-/// Maximum number of daemons tried for one unit: the home, this daemon, and one more daemon with a different network
-/// path to the server.
+/// Maximum number of daemons tried for one unit where every daemon may connect: the home, this daemon, and one more
+/// daemon with a different network path to the server. Elsewhere the home and all its substitutes are tried.
 constexpr std::size_t MaximumCandidates = 3;
 /// A daemon that could not reach a server is avoided for this long.
 constexpr std::chrono::milliseconds AvoidanceDuration{1'000};
@@ -33,12 +34,6 @@
 constexpr std::string_view AllServers = "*";
 /// Time for the round trip to another daemon, added to the timeouts of the unit itself.
 constexpr std::chrono::milliseconds TransitTime{300};
-/// Percentage of a server's connection limit that its home may use. The rest is for connections of a former home that
-/// the server has not dropped yet, and for daemons that bypass the home.
-constexpr unsigned HomeConnectionPercent = 72;
-/// Percentage of a server's connection limit that any other daemon may use.
-constexpr unsigned OtherConnectionPercent = 9;
-constexpr unsigned Percent = 100;
 /// The home closes idle connections well before the server would, because a connection closed by the server loses a
 /// write in transit.
 constexpr std::chrono::seconds HomeIdleTimeout{20};
@@ -77,14 +72,25 @@
 }
 
 ConnectionAllowance WorkRouter::allowanceFor(const BackendServer &server) const
+{
+    const std::vector<std::string> homes = this->homesOf(server.id);
+    const bool isHome = !homes.empty() && homes.front() == this->options.deployment.daemonId;
+    const ConnectionPlan plan = this->planFor(server);
+    return {.connections = isHome ? plan.homeConnections() : plan.otherConnections(),
+            .idleTimeout = isHome ? HomeIdleTimeout : OtherIdleTimeout};
+}
+
+ConnectionPlan WorkRouter::planFor(const BackendServer &server) const
 {
     const auto service = this->view->configuration->services.find(server.service);
     const unsigned limit = service == this->view->configuration->services.end() ? 0 : service->second.connectionLimit;
-    const auto homes = this->view->homes.find(server.id);
-    const bool isHome = homes != this->view->homes.end() && !homes->second.empty()
-        && homes->second.front() == this->options.deployment.daemonId;
-    return {.connections = std::max(1U, limit * (isHome ? HomeConnectionPercent : OtherConnectionPercent) / Percent),
-            .idleTimeout = isHome ? HomeIdleTimeout : OtherIdleTimeout};
+    return {limit, this->view->daemons.size()};
+}
+
+std::vector<std::string> WorkRouter::homesOf(std::string_view server) const
+{
+    const auto found = this->view->homes.find(server);
+    return found == this->view->homes.end() ? std::vector<std::string>() : found->second;
 }
 
 void WorkRouter::setView(std::shared_ptr<const GatewayView> newView)
@@ -123,15 +129,12 @@
 
 std::vector<std::string> WorkRouter::candidates(std::string_view server, core::TimePoint now) const
 {
-    std::vector<std::string> order;
-    const auto homes = this->view->homes.find(server);
-    if (homes != this->view->homes.end()) {
-        order = homes->second;
-    }
-    const std::string &self = this->options.deployment.daemonId;
-    std::erase(order, self);
-    const bool selfIsHome = homes != this->view->homes.end() && !homes->second.empty() && homes->second.front() == self;
-    order.insert(order.begin() + (selfIsHome || order.empty() ? 0 : 1), self);
+    const std::vector<std::string> homes = this->homesOf(server);
+    const BackendServer *const entry = this->view->server(server);
+    const ConnectionPlan plan = entry == nullptr || this->view->configuration == nullptr
+        ? ConnectionPlan(0, this->view->daemons.size())
+        : this->planFor(*entry);
+    std::vector<std::string> order = plan.order(homes, this->options.deployment.daemonId);
     const auto isAvoided = [&](const std::string &daemon) {
         for (const std::string &scope : {std::string(server), std::string(AllServers)}) {
             const auto avoided = this->avoidedUntil.find({scope, daemon});
@@ -142,7 +145,7 @@
         return false;
     };
     std::stable_partition(order.begin(), order.end(), [&](const std::string &daemon) { return !isAvoided(daemon); });
-    if (order.size() > MaximumCandidates) {
+    if (plan.mayAllConnect() && order.size() > MaximumCandidates) {
         order.resize(MaximumCandidates);
     }
     return order;
@@ -233,7 +236,22 @@
                                       .error = UnitError::Unreachable,
                                       .errorText = "server is not in the catalogue"};
     }
-    co_return co_await pool->run(std::move(unit));
+    const std::string server = unit.server;
+    const pooling::UnitResult result = co_await pool->run(std::move(unit));
+    const BackendServer *const entry = this->view->server(server);
+    if (result.provenPosition && entry != nullptr) {
+        const core::BootTime takenAt = core::BootClock::now() - result.proofAge;
+        TakenProof &newest = this->takenProofs[entry->service];
+        if (newest.takenAt < takenAt) {
+            newest = {.position = *result.provenPosition, .takenAt = takenAt};
+        }
+    }
+    co_return result;
+}
+
+std::map<std::string, TakenProof, std::less<>> WorkRouter::takeProofs()
+{
+    return std::exchange(this->takenProofs, {});
 }
 
 net::awaitable<pooling::UnitResult> WorkRouter::runRemotely(pooling::WorkUnit unit, std::string daemon)
--- a/gateway/workrouter.h
+++ b/gateway/workrouter.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/boottime.h"
+#include "gateway/connectionplan.h"
 #include "gateway/gatewayview.h"
 #include "gateway/pooledserver.h"
 #include "net/peerclient.h"
@@ -23,6 +25,13 @@
     std::string daemon;
 };
 
+/// Freshness proof that a pool of this daemon took at a primary.
+struct TakenProof
+{
+    session::LogPosition position;
+    core::BootTime takenAt;
+};
+
 /// Runs units of work on this daemon's own pools or sends them to the daemon that is the home of the server. There is
 /// one instance per traffic thread.
 class WorkRouter
@@ -58,9 +67,14 @@
     using PoolMap = std::map<std::string, std::shared_ptr<PooledServer>, std::less<>>;
     const PoolMap &pools() const;
 
+    /// Newest proofs that the pools of this daemon took, by service, since the last call.
+    std::map<std::string, TakenProof, std::less<>> takeProofs();
+
 private:
     std::shared_ptr<PooledServer> poolOf(const std::string &server);
     ConnectionAllowance allowanceFor(const BackendServer &server) const;
+    ConnectionPlan planFor(const BackendServer &server) const;
+    std::vector<std::string> homesOf(std::string_view server) const;
     std::vector<std::string> candidates(std::string_view server, core::TimePoint now) const;
     net::awaitable<pooling::UnitResult> runRemotely(pooling::WorkUnit unit, std::string daemon);
 
@@ -68,6 +82,7 @@
     net::PeerClient peers;
     std::shared_ptr<const GatewayView> view = std::make_shared<GatewayView>();
     PoolMap byServer;
+    std::map<std::string, TakenProof, std::less<>> takenProofs;
     /// Until when a daemon is avoided, by server (or `AllServers`) and daemon.
     std::map<std::pair<std::string, std::string>, core::TimePoint> avoidedUntil;
 };
