Start a rate pool empty when another daemon becomes its home

Cause: every daemon keeps a bucket for each pooled workspace, which is full while another daemon serves the pool. When the home moved, the workspace had a second burst in the same window. Change: a daemon that becomes the home of a pool in a running fleet empties its bucket.

--- a/gateway/rateclient.cpp
+++ b/gateway/rateclient.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace endiveshore::gateway {
 
@@ -40,7 +41,15 @@
 
 void RateClient::setView(std::shared_ptr<const GatewayView> newView)
 {
-    this->view = std::move(newView);
+    const std::shared_ptr<const GatewayView> before = std::exchange(this->view, std::move(newView));
+    // Before the first view with homes, no other daemon can have served the pools from this daemon's point of view.
+    if (before == nullptr || before->rateHomes.empty() || before->rateHomes == this->view->rateHomes) {
+        return;
+    }
+    const auto isTakenOver = [&](const std::string &workspace) {
+        return this->view->rateHome(workspace) == this->daemonId && before->rateHome(workspace) != this->daemonId;
+    };
+    this->rates.emptyPools(isTakenOver, core::Clock::now());
 }
 
 RateLimiter &RateClient::limiter()
--- a/gateway/ratelimiter.cpp
+++ b/gateway/ratelimiter.cpp
@@ -107,6 +107,15 @@
     return answer;
 }
 
+void RateLimiter::emptyPools(const std::function<bool(const std::string &workspace)> &isTakenOver, core::TimePoint now)
+{
+    for (auto &[workspace, pool] : this->pools) {
+        if (isTakenOver(workspace)) {
+            pool.empty(now);
+        }
+    }
+}
+
 std::map<std::string, PoolUse, std::less<>> RateLimiter::takeExhaustedPools()
 {
     std::map<std::string, PoolUse, std::less<>> exhausted;
--- a/gateway/ratelimiter.h
+++ b/gateway/ratelimiter.h
@@ -4,6 +4,7 @@
 #include "limits/demandshares.h"
 #include "limits/tokenbucket.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -60,6 +61,10 @@
     /// longestWait.
     RateAnswer bookFromPool(std::string_view workspace, core::Duration longestWait, core::TimePoint now);
 
+    /// Empties the pools of the workspaces for which @p isTakenOver is true. The bucket of a pool that this daemon did
+    /// not serve is full, although another daemon has spent the burst from its own.
+    void emptyPools(const std::function<bool(const std::string &workspace)> &isTakenOver, core::TimePoint now);
+
     /// Use of the pools that refused an operation since the last call, by workspace.
     std::map<std::string, PoolUse, std::less<>> takeExhaustedPools();
 
--- a/limits/tokenbucket.cpp
+++ b/limits/tokenbucket.cpp
@@ -52,6 +52,12 @@
     this->tokens = std::min(this->tokens, changed.burst);
 }
 
+void TokenBucket::empty(core::TimePoint now)
+{
+    this->refill(now);
+    this->tokens = std::min(this->tokens, 0.0);
+}
+
 double TokenBucket::level(core::TimePoint now)
 {
     this->refill(now);
--- a/limits/tokenbucket.h
+++ b/limits/tokenbucket.h
@@ -39,6 +39,9 @@
     /// Changes the limits; tokens above the new burst are dropped.
     void setLimits(ShareLimits limits, core::TimePoint now);
 
+    /// Drops all available tokens.
+    void empty(core::TimePoint now);
+
     /// Available tokens. Negative while booked tokens have not been refilled yet.
     double level(core::TimePoint now);
 
--- a/tests/gateway/test_rateclient.cpp
+++ b/tests/gateway/test_rateclient.cpp
@@ -96,6 +96,30 @@
     EXPECT_FALSE(this->acquire(0ms));
 }
 
+// Guards against a rate that is exceeded by a whole burst whenever another daemon becomes the home of the pool: its
+// bucket is full, and the former home has spent its own.
+TEST_F(RateClientTest, APoolThatIsTakenOverStartsEmpty)
+{
+    const auto grant = [this] {
+        const boost::json::object answer = this->client.serve({{"w", "w"}, {"m", 0}});
+        return answer.at("g").as_bool();
+    };
+    this->useHome("d2");
+    this->useHome("d1");
+    EXPECT_FALSE(grant());
+    // A turn can be booked, and the pool fills at its rate.
+    const boost::json::object booked = this->client.serve({{"w", "w"}, {"m", 2'000}});
+    EXPECT_TRUE(booked.at("g").as_bool());
+}
+
+// Guards against a pool that is empty after the start of a fleet, when all callers come at once.
+TEST_F(RateClientTest, APoolIsFullAfterTheStart)
+{
+    this->useHome("d1");
+    const boost::json::object answer = this->client.serve({{"w", "w"}, {"m", 0}});
+    EXPECT_TRUE(answer.at("g").as_bool());
+}
+
 // Guards against mistaking a refusal by the pool for a missing answer: requesters would then spend their fallback
 // buckets too, as if the pool had granted twice what it holds.
 TEST_F(RateClientTest, AnAnswerSaysWhetherThereIsAPool)
