--- a/confsync/entrystore.cpp
+++ b/confsync/entrystore.cpp
@@ -134,6 +134,12 @@
     return this->currentRevision;
 }
 
+std::optional<std::int64_t> EntryStore::versionOf(std::string_view key) const
+{
+    const auto found = this->entries.find(key);
+    return found == this->entries.end() ? std::nullopt : std::optional(found->second.version);
+}
+
 const Entry *EntryStore::find(std::string_view key) const
 {
     const auto found = this->entries.find(key);
--- a/confsync/entrystore.h
+++ b/confsync/entrystore.h
@@ -86,6 +86,9 @@
     /// decreases.
     std::int64_t revision() const;
 
+    /// Revision of the last change of @p key, also if that change deleted it; nothing if it is not known.
+    std::optional<std::int64_t> versionOf(std::string_view key) const;
+
     /// Live entry of @p key, or nullptr. The pointer is valid until the next change.
     const Entry *find(std::string_view key) const;
 
--- a/gateway/gatewaydaemon.cpp
+++ b/gateway/gatewaydaemon.cpp
@@ -27,6 +27,8 @@
 
 constexpr std::chrono::milliseconds TickInterval{100};
 constexpr std::chrono::milliseconds SettingsInterval{1'000};
+/// Shortest interval between views that are published for changes of the membership.
+constexpr std::chrono::milliseconds ViewInterval{100};
 /// If another daemon reached the store within this time, the store is available to other daemons and may have elected a
 /// new holder.
 constexpr std::chrono::milliseconds StoreContactAge{3'200};
@@ -43,6 +45,8 @@
 /// balancer's lag, the steps take half of a stop grace of 6 s; the other half is left for statements already received.
 constexpr unsigned CloseSteps = 5;
 constexpr std::chrono::milliseconds CloseInterval{200};
+/// Random bytes from which the number of this process in its clock stamps is made.
+constexpr std::size_t StampProcessBytes = 16;
 /// Time reserved for the exit of the process after its last session.
 constexpr std::chrono::milliseconds ExitReserve{400};
 
@@ -75,6 +79,9 @@
                                .onConfiguration = [this] { this->publishView(); }},
              this->log)
     , shares(this->adapter.deployment.daemonId, core::Clock::now())
+    , aggregator(ReportAggregatorOptions{.dataCentre = this->adapter.deployment.dataCentre,
+                                         .regionOfDataCentre = this->adapter.deployment.regionOfDataCentre})
+    , stampClock(core::stableHash(core::randomHex(StampProcessBytes)) | 1U)
 {
 }
 
@@ -153,7 +160,7 @@
             .field("peer", event.member.id)
             .field("state", membership::memberStateName(event.member.state));
         if (event.kind == membership::MemberEventKind::Left) {
-            this->shares.forget(event.member.id);
+            this->aggregator.remove(event.member.id);
         }
         this->scheduleView();
     }};
@@ -161,8 +168,9 @@
         this->context.get_executor(), std::move(options), std::move(callbacks));
     this->gossip->start();
     this->reports = std::make_shared<net::UdpSocket>(this->context.get_executor());
-    this->reports->open({deployment.reportListen.address(), deployment.reportListen.port()},
-                        [this](const net::UdpEndpoint &, std::string_view payload) { this->receiveReport(payload); });
+    this->reports->open(
+        {deployment.reportListen.address(), deployment.reportListen.port()},
+        [this](const net::UdpEndpoint &sender, std::string_view payload) { this->receiveReport(sender, payload); });
 }
 
 void GatewayDaemon::startStore()
@@ -211,7 +219,7 @@
         .onPromoted =
             [this](const std::string &service, const std::string &server, std::uint64_t fence) {
                 this->applyPromotion(service, server, fence);
-                this->sendReport();
+                this->broadcastReport();
             },
         .onNotPrimary =
             [this](const std::string &service, const std::string &server) {
@@ -253,20 +261,15 @@
     // The lease has expired without a renewal. Another daemon can have been elected only if the store still answers
     // some daemon.
     const core::TimePoint now = core::Clock::now();
-    return std::ranges::none_of(this->storeAges, [&](const auto &entry) {
-        const auto reported = this->reportedAt.find(entry.first);
-        return reported != this->reportedAt.end() && now - reported->second + entry.second < StoreContactAge;
-    });
+    return std::ranges::none_of(this->storeContacts,
+                                [now](const auto &entry) { return now - entry.second < StoreContactAge; });
 }
 
 core::TimePoint GatewayDaemon::fleetStoreContact() const
 {
     core::TimePoint newest = core::Clock::now() - this->storeAge();
-    for (const auto &[reporter, age] : this->storeAges) {
-        const auto reported = this->reportedAt.find(reporter);
-        if (reported != this->reportedAt.end()) {
-            newest = std::max<core::TimePoint>(newest, reported->second - age);
-        }
+    for (const auto &[dataCentre, contact] : this->storeContacts) {
+        newest = std::max(newest, contact);
     }
     return newest;
 }
@@ -277,9 +280,14 @@
         return;
     }
     this->viewPending = true;
-    asio::post(this->context, [this] {
+    // A change is published at once, and those that follow it together: while a fleet starts, each daemon hears of
+    // hundreds of others within a second.
+    this->viewTimer.expires_at(std::max(core::Clock::now(), this->viewPublishedAt + ViewInterval));
+    this->viewTimer.async_wait([this](const boost::system::error_code &error) {
         this->viewPending = false;
-        this->publishView();
+        if (!error) {
+            this->publishView();
+        }
     });
 }
 
@@ -329,10 +337,17 @@
         if (member.id == deployment.daemonId || !daemon::isLive(member)) {
             continue;
         }
+        const std::optional<net::TcpEndpoint> endpoint = net::tryParseEndpoint(member.address);
+        if (!endpoint) {
+            this->log.line("daemon_unusable", telemetry::LogLevel::Warning)
+                .field("peer", member.id)
+                .field("reason", "its address is not of the form ip:port");
+            continue;
+        }
         const auto share = this->processorShares.find(member.id);
         next.daemons.emplace(member.id,
                              PeerDaemon{.id = member.id,
-                                        .endpoint = net::parseEndpoint(member.address),
+                                        .endpoint = *endpoint,
                                         .dataCentre = member.dataCentre,
                                         .processorShare = share == this->processorShares.end() ? 0 : share->second,
                                         .isSuspect = member.state == membership::MemberState::Suspect});
@@ -350,6 +365,7 @@
     this->addHomes(next);
     const bool isNewConfiguration = next.configuration != this->view->configuration;
     this->view = std::make_shared<const GatewayView>(std::move(next));
+    this->viewPublishedAt = core::Clock::now();
     if (isNewConfiguration) {
         // Callers connect as soon as a daemon has started, before the first periodic report updates the shares.
         this->updateShares();
@@ -420,7 +436,7 @@
     this->log.line("stopping").field("grace_ms", grace.count());
     this->leaving = true;
     this->publishView();
-    this->sendReport();
+    this->broadcastReport();
     asio::co_spawn(this->context, this->lease->stop(), asio::detached);
     asio::steady_timer timer(this->context);
     timer.expires_at(start + BalancerLag);
--- a/gateway/gatewaydaemon.h
+++ b/gateway/gatewaydaemon.h
@@ -2,16 +2,22 @@
 
 #include "daemon/configservice.h"
 #include "daemon/gossipservice.h"
+#include "gateway/aggregatorchoice.h"
 #include "gateway/daemonlease.h"
-#include "gateway/daemonreport.h"
 #include "gateway/metadatamirror.h"
 #include "gateway/metadatasource.h"
 #include "gateway/primarysearch.h"
 #include "gateway/promotionduty.h"
+#include "gateway/reportaggregator.h"
+#include "gateway/sentreports.h"
 #include "gateway/trafficcore.h"
 #include "net/httpserver.h"
 
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <set>
 
 namespace endiveshore::gateway {
 
@@ -58,16 +64,41 @@
     net::awaitable<void> shutDown();
     net::awaitable<boost::json::object> exchangeMetadata(std::string daemon, boost::json::object request);
     net::HttpResponse answerReadiness(const net::HttpRequest &request) const;
-    void receiveReport(std::string_view payload);
-    void applyLeaving(const DaemonReport &report);
-    void sendReport();
+    void receiveReport(const net::UdpEndpoint &sender, std::string_view payload);
+    void applyReport(const net::UdpEndpoint &sender, const DaemonReport &report);
+    void applyDigest(const FleetDigest &digest);
+    /// Returns true if a promotion was not known yet.
+    bool applyPromotions(const Promotions &promotions);
+    void recordStoreContact(const std::string &dataCentre, core::TimePoint contact);
+    void announceRevision(const std::vector<std::string> &holders, std::int64_t revision);
+    void setLeaving(const std::string &daemon, bool isLeaving);
+    /// Replaces the leaving daemons of @p dataCentre.
+    void applyLeaving(std::string_view dataCentre, const std::set<std::string, std::less<>> &leaving);
+    /// Sends this daemon's report to the aggregators of its data centre and, as delegate, the sum to the others.
+    void sendReports();
+    /// Sends this daemon's report to all daemons of its data centre, for news that must not wait.
+    void broadcastReport();
     void sendToDataCentres();
-    void sendTo(const std::vector<const PeerDaemon *> &receivers, const DaemonReport &report);
-    void forwardReport(const DaemonReport &report);
+    void sendTo(const std::vector<const PeerDaemon *> &receivers, DaemonReport report);
+    /// Sends the sum of another data centre to the daemon that aggregates after the loss of this one.
+    void forwardToDeputy(const DaemonReport &sum);
+    void sendDigest(const net::UdpEndpoint &receiver, std::string_view daemon);
+    /// Sends a digest to all daemons of the data centre.
+    void pushDigest();
     DaemonReport ownReport() const;
-    DaemonReport dataCentreReport() const;
-    /// Daemon that exchanges reports with other data centres for @p dataCentre; empty if no daemon qualifies.
-    std::string delegateOf(std::string_view dataCentre) const;
+    /// Fills in what depends on the receiver and on the time: the stamps and the age of the proofs.
+    void seal(DaemonReport &report, std::string_view receiver) const;
+    session::ClockStamp stampOf(std::string_view daemon) const;
+    void recordTakenProofs(const std::map<std::string, TakenProof, std::less<>> &proofs);
+    /// Hands the proofs of a digest that was made after @p madeAfter to the traffic thread.
+    void useProofs(const session::AgedProofs &proofs, core::BootTime madeAfter);
+    FleetDigest ownDigest() const;
+    /// Adds the proofs of all data centres, with their age now, and the stamp of this moment.
+    void addProofs(FleetDigest &digest) const;
+    /// Daemons of @p dataCentre that may aggregate its reports, in order of preference. The first is the delegate of
+    /// the data centre, which exchanges sums with the delegates of other data centres.
+    std::vector<std::string> aggregatorsOf(std::string_view dataCentre) const;
+    bool isDelegate() const;
     std::vector<const PeerDaemon *> localPeers() const;
     std::vector<const PeerDaemon *> otherDelegates() const;
     void applyMetadata(const confsync::EntryStore &entries);
@@ -79,6 +110,8 @@
     void publishView();
     void reloadSettings();
     void updateShares();
+    /// Counts the registered daemons that divide the rates with this one.
+    void updateLeaseHolders();
     bool isReady() const;
     bool mayOrderPromotions() const;
     /// Time since the store last answered this daemon.
@@ -86,10 +119,20 @@
     /// Time of the store's last answer to any daemon.
     core::TimePoint fleetStoreContact() const;
     bool isRelay() const;
+    /// Relays of the data centre by the reports that this daemon aggregates.
+    std::vector<std::string> chosenRelays() const;
     std::vector<std::string> metadataPeers() const;
     std::vector<std::string> configuredSeeds() const;
     void addHomes(GatewayView &view) const;
 
+    /// Digest that is sent to several daemons, which differ in the included report only.
+    struct SharedDigest
+    {
+        FleetDigest digest;
+        std::map<std::string, std::uint64_t, std::less<>> includedSequences;
+        core::TimePoint builtAt;
+    };
+
     /// Value of a daemon's registration key in the metadata store.
     struct Registration
     {
@@ -117,18 +160,30 @@
     failover::PrimaryTracker primaries;
     limits::DemandShares shares;
     limits::Demand demand; ///< Moving average of this daemon's demand, in operations per second by workspace.
-    /// Time since the store's last answer, by reporter (daemon or data centre).
-    std::map<std::string, core::Milliseconds, std::less<>> storeAges;
-    std::map<std::string, core::TimePoint, std::less<>> reportedAt;
+    SentReports sentReports;
+    ReportAggregator aggregator;
+    AggregatorChoice aggregatorChoice;
+    SharedDigest sharedDigest;
+    session::StampClock stampClock;
+    /// Last stamp received from each daemon, to be sent back to it.
+    std::map<std::string, session::ClockStamp, std::less<>> peerStamps;
+    session::ProofBoard ownProofs; ///< Taken by this daemon.
+    session::ProofBoard localProofs; ///< Taken by the daemons of the own data centre, including this one.
+    session::ProofBoard remoteProofs; ///< Taken in other data centres.
+    core::TimePoint digestAt; ///< Receipt of the last digest of another daemon.
+    std::vector<std::string> relays; ///< Relays of the data centre as of the last digest.
+    /// Time of the store's last answer to any daemon, by data centre.
+    std::map<std::string, core::TimePoint, std::less<>> storeContacts;
     std::set<std::string, std::less<>> leavingDaemons;
     /// Daemons with a registration key in the metadata store.
     std::map<std::string, Registration, std::less<>> registered;
     std::map<std::string, double, std::less<>> processorShares; ///< Parts of one core, by daemon, as last registered.
-    /// Latest reports of the daemons of the own data centre.
-    std::map<std::string, DaemonReport, std::less<>> localReports;
+    std::set<std::string, std::less<>> registeredDataCentres; ///< Data centres of other registered daemons.
     std::shared_ptr<const GatewayView> view = std::make_shared<GatewayView>();
     std::optional<core::TimePoint> renewedAt; ///< Time of the last answer to a lease renewal.
     bool viewPending = false;
+    boost::asio::steady_timer viewTimer{this->context};
+    core::TimePoint viewPublishedAt;
     bool leaving = false;
 };
 
--- a/gateway/gatewaymetadata.cpp
+++ b/gateway/gatewaymetadata.cpp
@@ -14,8 +14,16 @@
 
 /// Daemons whose last report is older are not candidates for relays.
 constexpr std::chrono::milliseconds MaximumRelayReportAge{1'200};
+/// Without a newer digest of its aggregator, a daemon takes part in the choice by itself. Longer than the change to
+/// another aggregator takes.
+constexpr std::chrono::milliseconds MaximumRelayDigestAge{1'500};
 /// Interval between attempts to reach the metadata store, with a jitter of half the interval in both directions.
 constexpr std::chrono::milliseconds MetadataRetry{300};
+/// Time in which the daemons of a region get a change from their own relays. The narrow link between regions would be
+/// filled for seconds if each of them pulled a large configuration across it.
+constexpr std::chrono::milliseconds CrossRegionPullDelay{800};
+/// Part of the change deadline after which a daemon that no peer brings up to date watches the store itself.
+constexpr int BehindDivisor = 4;
 
 }
 
@@ -55,6 +63,8 @@
     daemon::ConfigurationOptions options;
     options.watchSilence = this->source->longestSilence();
     options.retryInterval = MetadataRetry;
+    options.crossRegionDelay = CrossRegionPullDelay;
+    options.behindLimit = this->adapter.deployment.changeDeadline / BehindDivisor;
     options.seed = core::stableHash(this->adapter.deployment.daemonId);
     this->metadata = std::make_shared<daemon::ConfigurationService>(
         executor, this->source, std::move(options), std::move(callbacks));
@@ -62,6 +72,13 @@
 }
 
 bool GatewayDaemon::isRelay() const
+{
+    const bool hasDigest = core::Clock::now() - this->digestAt < MaximumRelayDigestAge;
+    const std::vector<std::string> current = hasDigest ? this->relays : this->chosenRelays();
+    return std::ranges::find(current, this->adapter.deployment.daemonId) != current.end();
+}
+
+std::vector<std::string> GatewayDaemon::chosenRelays() const
 {
     const Deployment &deployment = this->adapter.deployment;
     std::vector<RelayCandidate> candidates;
@@ -69,19 +86,18 @@
         {.id = deployment.daemonId, .processorShare = deployment.processorShare, .storeAge = this->storeAge()});
     const core::TimePoint now = core::Clock::now();
     for (const PeerDaemon *const localPeer : this->localPeers()) {
-        const auto reported = this->reportedAt.find(localPeer->id);
-        const bool hasRecentReport
-            = reported != this->reportedAt.end() && now - reported->second < MaximumRelayReportAge;
+        const auto received = this->aggregator.localReports().find(localPeer->id);
+        const bool hasRecentReport = received != this->aggregator.localReports().end()
+            && now - received->second.receivedAt < MaximumRelayReportAge;
         if (!hasRecentReport || localPeer->isSuspect || this->leavingDaemons.contains(localPeer->id)) {
             continue;
         }
-        const auto age = std::chrono::duration_cast<core::Milliseconds>(now - reported->second);
+        const auto age = std::chrono::duration_cast<core::Milliseconds>(now - received->second.receivedAt);
         candidates.push_back({.id = localPeer->id,
                               .processorShare = localPeer->processorShare,
-                              .storeAge = this->storeAges.at(localPeer->id) + age});
+                              .storeAge = received->second.report.storeAge + age});
     }
-    const std::vector<std::string> relays = chooseRelays(deployment.dataCentre, candidates);
-    return std::ranges::find(relays, deployment.daemonId) != relays.end();
+    return chooseRelays(deployment.dataCentre, candidates);
 }
 
 std::vector<std::string> GatewayDaemon::metadataPeers() const
@@ -106,17 +122,24 @@
 void GatewayDaemon::applyMetadata(const confsync::EntryStore &entries)
 {
     const std::shared_ptr<const Configuration> before = this->mirror.configuration();
-    this->metadataSnapshot = std::make_shared<const confsync::EntryStore>(entries);
+    const std::int64_t revisionBefore = this->mirror.significantRevision();
     this->mirror.apply(entries, core::Clock::now());
     this->lease->onStoreRead();
-    this->scheduleView();
+    if (this->mirror.significantRevision() != revisionBefore) {
+        // Published before the revision is announced, since peers that hear of it pull these entries.
+        this->metadataSnapshot = std::make_shared<const confsync::EntryStore>(entries);
+        this->publishView();
+    }
     if (this->mirror.configuration() != before) {
         const std::string &source = this->metadata->revisionSource();
         this->log.line("configuration_received")
             .field("version", this->mirror.configuration()->version)
             .field("revision", entries.revision())
             .field("source", source.empty() ? std::string_view("store") : std::string_view(source));
-        this->sendReport();
+        if (source.empty()) {
+            // The daemons of the data centre pull the configuration from the relays, which read it from the store.
+            this->broadcastReport();
+        }
     }
 }
 
@@ -133,6 +156,7 @@
     const std::string id = item.key.substr(prefix.size());
     if (item.isRemoved) {
         this->registered.erase(id);
+        this->updateLeaseHolders();
         return;
     }
     boost::system::error_code error;
@@ -147,6 +171,7 @@
     this->registered.insert_or_assign(id,
                                       Registration{.address = core::jsonString(entry, "address"),
                                                    .dataCentre = core::jsonString(entry, "data_centre")});
+    this->updateLeaseHolders();
     this->processorShares[id] = core::jsonNumber(entry, "processor_share");
     std::vector<std::string> seeds = this->configuredSeeds();
     seeds.push_back(core::jsonString(entry, "address"));
--- a/gateway/gatewayreports.cpp
+++ b/gateway/gatewayreports.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gatewaydaemon.h"
 
 #include "core/error.h"
+#include "core/hashing.h"
 #include "core/json.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -9,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <set>
 #include <string_view>
 
@@ -23,8 +25,8 @@
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 
 constexpr std::chrono::milliseconds ReportInterval{250};
-/// Daemons whose last report is older are left out of the sum of their data centre.
-constexpr std::chrono::milliseconds MaximumLocalReportAge{2'500};
+/// A digest answers all daemons that ask within this time after it was summed up.
+constexpr std::chrono::milliseconds DigestReuse{50};
 /// Weight of the latest report interval in the moving average of the demand.
 constexpr double DemandWeight = 0.3;
 constexpr std::chrono::milliseconds MetadataExchangeTimeout{1'500};
@@ -41,21 +43,22 @@
     while (true) {
         timer.expires_after(ReportInterval);
         co_await timer.async_wait(UseTuple);
-        const auto operations = co_await this->traffic.takeDemand();
+        const TrafficReport taken = co_await this->traffic.takeReport();
         const core::TimePoint now = core::Clock::now();
         const double seconds = std::chrono::duration<double>(now - previous).count();
         previous = now;
         // The first demand after a start is not averaged: after a restart all callers come back at once.
-        for (const auto &[workspace, count] : operations) {
+        for (const auto &[workspace, count] : taken.demand) {
             this->demand.try_emplace(workspace, static_cast<double>(count) / seconds);
         }
         for (auto &[workspace, rate] : this->demand) {
-            const auto found = operations.find(workspace);
-            const double current = found == operations.end() ? 0 : static_cast<double>(found->second) / seconds;
+            const auto found = taken.demand.find(workspace);
+            const double current = found == taken.demand.end() ? 0 : static_cast<double>(found->second) / seconds;
             rate += DemandWeight * (current - rate);
         }
+        this->recordTakenProofs(taken.proofs);
+        this->sendReports();
         this->updateShares();
-        this->sendReport();
     }
 }
 
@@ -63,12 +66,6 @@
 {
     const core::TimePoint now = core::Clock::now();
     this->shares.setOwnDemand(this->demand);
-    std::map<std::string, std::size_t, std::less<>> holders;
-    for (const auto &[id, registration] : this->registered) {
-        const bool isLocal = registration.dataCentre == this->adapter.deployment.dataCentre;
-        ++holders[isLocal ? id : registration.dataCentre];
-    }
-    this->shares.setLeaseHolders(std::move(holders));
     if (this->storeAge() < LeaseRenewalAge) {
         this->shares.recordStoreContact(now);
     }
@@ -76,15 +73,6 @@
     if (configuration == nullptr) {
         return;
     }
-    std::set<std::string, std::less<>> regionReporters;
-    for (const auto &[dataCentre, region] : this->adapter.deployment.regionOfDataCentre) {
-        if (region == this->adapter.deployment.region) {
-            regionReporters.insert(dataCentre);
-        }
-    }
-    for (const PeerDaemon *const localPeer : this->localPeers()) {
-        regionReporters.insert(localPeer->id);
-    }
     auto next = std::make_shared<DaemonShares>();
     next->daemons = this->shares.holders(now);
     std::set<std::string_view> regions;
@@ -92,62 +80,67 @@
         regions.insert(region);
     }
     next->regions = regions.size();
+    const std::set<std::string, std::less<>> ownRegion{this->adapter.deployment.region};
     for (const auto &[name, workspace] : configuration->workspaces) {
         const double rate = workspace.limits.ratePerSecond;
         next->own.emplace(name, this->shares.share(name, rate, now));
-        next->region.emplace(name, this->shares.groupShare(name, rate, regionReporters, now));
+        next->region.emplace(name, this->shares.groupShare(name, rate, ownRegion, now));
     }
     this->traffic.publishShares(std::move(next));
 }
 
+void GatewayDaemon::updateLeaseHolders()
+{
+    std::map<std::string, std::size_t, std::less<>> holders;
+    this->registeredDataCentres.clear();
+    for (const auto &[id, registration] : this->registered) {
+        if (id == this->adapter.deployment.daemonId) {
+            continue;
+        }
+        this->registeredDataCentres.insert(registration.dataCentre);
+        const auto region = this->adapter.deployment.regionOfDataCentre.find(registration.dataCentre);
+        if (region != this->adapter.deployment.regionOfDataCentre.end()) {
+            ++holders[region->second];
+        }
+    }
+    this->shares.setLeaseHolders(std::move(holders));
+}
+
 DaemonReport GatewayDaemon::ownReport() const
 {
     const std::string &self = this->adapter.deployment.daemonId;
     return {.daemon = self,
             .demand = this->demand,
-            .metadataRevision = this->metadata->revision(),
+            .metadataRevision = this->mirror.significantRevision(),
             .storeAge = this->storeAge(),
             .leaving = this->leaving ? std::set<std::string, std::less<>>{self} : std::set<std::string, std::less<>>(),
+            .sequence = this->sentReports.lastSequence(),
             .promotions = this->primaries.promotions()};
 }
 
-DaemonReport GatewayDaemon::dataCentreReport() const
+std::vector<std::string> GatewayDaemon::aggregatorsOf(std::string_view dataCentre) const
 {
-    DaemonReport sum = this->ownReport();
-    sum.dataCentre = this->adapter.deployment.dataCentre;
-    const core::TimePoint now = core::Clock::now();
-    for (const auto &[daemon, report] : this->localReports) {
-        const auto reported = this->reportedAt.find(daemon);
-        if (reported == this->reportedAt.end() || now - reported->second > MaximumLocalReportAge) {
-            continue;
-        }
-        ++sum.daemons;
-        sum.leaving.insert(report.leaving.begin(), report.leaving.end());
-        sum.storeAge = std::min(sum.storeAge, report.storeAge);
-        for (const auto &[workspace, rate] : report.demand) {
-            sum.demand[workspace] += rate;
+    std::vector<const PeerDaemon *> usable;
+    for (const auto &[id, daemon] : this->view->daemons) {
+        if (daemon.dataCentre == dataCentre && !daemon.isSuspect && !this->leavingDaemons.contains(id)) {
+            usable.push_back(&daemon);
         }
     }
-    return sum;
+    // Daemons with the largest processor share are the homes of most servers, so they also aggregate.
+    std::ranges::stable_sort(usable, [](const PeerDaemon *left, const PeerDaemon *right) {
+        return left->processorShare > right->processorShare;
+    });
+    std::vector<std::string> ids;
+    for (const PeerDaemon *const daemon : usable) {
+        ids.push_back(daemon->id);
+    }
+    return ids;
 }
 
-std::string GatewayDaemon::delegateOf(std::string_view dataCentre) const
+bool GatewayDaemon::isDelegate() const
 {
-    // Daemons with the largest processor share are the homes of most servers, so they also send the reports.
-    const auto isBetter = [this](const PeerDaemon &left, const PeerDaemon &right) {
-        return left.processorShare != right.processorShare ? left.processorShare > right.processorShare
-                                                           : left.id < right.id;
-    };
-    const PeerDaemon *best = nullptr;
-    for (const auto &[id, daemon] : this->view->daemons) {
-        if (daemon.dataCentre != dataCentre || daemon.isSuspect || this->leavingDaemons.contains(id)) {
-            continue;
-        }
-        if (best == nullptr || isBetter(daemon, *best)) {
-            best = &daemon;
-        }
-    }
-    return best == nullptr ? std::string() : best->id;
+    const std::vector<std::string> aggregators = this->aggregatorsOf(this->adapter.deployment.dataCentre);
+    return !aggregators.empty() && aggregators.front() == this->adapter.deployment.daemonId;
 }
 
 std::vector<const PeerDaemon *> GatewayDaemon::localPeers() const
@@ -168,24 +161,78 @@
         if (dataCentre == this->adapter.deployment.dataCentre) {
             continue;
         }
-        const auto daemon = this->view->daemons.find(this->delegateOf(dataCentre));
-        if (daemon != this->view->daemons.end()) {
-            found.push_back(&daemon->second);
+        const std::vector<std::string> aggregators = this->aggregatorsOf(dataCentre);
+        if (!aggregators.empty()) {
+            found.push_back(&this->view->daemons.find(aggregators.front())->second);
         }
     }
     return found;
 }
 
-void GatewayDaemon::sendTo(const std::vector<const PeerDaemon *> &receivers, const DaemonReport &report)
+void GatewayDaemon::sendTo(const std::vector<const PeerDaemon *> &receivers, DaemonReport report)
 {
-    const std::string payload = json::serialize(toJson(report));
     const std::uint16_t port = this->adapter.deployment.reportListen.port();
     for (const PeerDaemon *const receiver : receivers) {
-        this->reports->send({receiver->endpoint.address(), port}, payload);
+        this->seal(report, receiver->id);
+        this->reports->send({receiver->endpoint.address(), port}, json::serialize(toJson(report)));
+    }
+}
+
+void GatewayDaemon::seal(DaemonReport &report, std::string_view receiver) const
+{
+    report.echo = this->stampOf(receiver);
+    // The ages count from a time after the stamp that is sent back.
+    const core::BootTime now = core::BootClock::now();
+    report.stamp = this->stampClock.stamp(now);
+    report.proofs = (report.dataCentre.empty() ? this->ownProofs : this->localProofs).aged(now);
+}
+
+session::ClockStamp GatewayDaemon::stampOf(std::string_view daemon) const
+{
+    const auto found = this->peerStamps.find(daemon);
+    return found == this->peerStamps.end() ? session::ClockStamp() : found->second;
+}
+
+void GatewayDaemon::recordTakenProofs(const std::map<std::string, TakenProof, std::less<>> &proofs)
+{
+    for (const auto &[service, proof] : proofs) {
+        this->ownProofs.record(service, proof.position, proof.takenAt);
+        this->localProofs.record(service, proof.position, proof.takenAt);
+    }
+}
+
+void GatewayDaemon::useProofs(const session::AgedProofs &proofs, core::BootTime madeAfter)
+{
+    std::map<std::string, TakenProof, std::less<>> usable;
+    for (const auto &[service, proof] : proofs) {
+        usable.emplace(service, TakenProof{.position = proof.position, .takenAt = madeAfter - proof.age});
+    }
+    if (!usable.empty()) {
+        this->traffic.recordProofs(std::move(usable));
     }
 }
 
-void GatewayDaemon::sendReport()
+void GatewayDaemon::sendReports()
+{
+    const Deployment &deployment = this->adapter.deployment;
+    this->sentReports.add(this->demand);
+    DaemonReport report = this->ownReport();
+    const ReportPlan plan = this->aggregatorChoice.plan(
+        this->aggregatorsOf(deployment.dataCentre), deployment.daemonId, core::Clock::now());
+    for (const ReportTarget &target : plan.targets) {
+        report.wantsDigest = target.wantsDigest;
+        this->sendTo({&this->view->daemons.find(target.daemon)->second}, report);
+    }
+    if (plan.aggregatesItself) {
+        FleetDigest digest = this->ownDigest();
+        this->addProofs(digest);
+        digest.echo = digest.stamp;
+        this->applyDigest(digest);
+    }
+    this->sendToDataCentres();
+}
+
+void GatewayDaemon::broadcastReport()
 {
     this->sendTo(this->localPeers(), this->ownReport());
     this->sendToDataCentres();
@@ -193,66 +240,192 @@
 
 void GatewayDaemon::sendToDataCentres()
 {
-    const Deployment &deployment = this->adapter.deployment;
-    if (this->delegateOf(deployment.dataCentre) == deployment.daemonId) {
-        this->sendTo(this->otherDelegates(), this->dataCentreReport());
+    if (this->isDelegate()) {
+        this->sendTo(this->otherDelegates(), this->aggregator.sum(this->ownReport(), core::Clock::now()));
     }
 }
 
-void GatewayDaemon::forwardReport(const DaemonReport &report)
+void GatewayDaemon::forwardToDeputy(const DaemonReport &sum)
 {
-    const auto sender = this->view->daemons.find(report.daemon);
-    const bool mustForward = sender != this->view->daemons.end() && sender->second.dataCentre == report.dataCentre
-        && this->delegateOf(this->adapter.deployment.dataCentre) == this->adapter.deployment.daemonId;
-    if (mustForward) {
-        this->sendTo(this->localPeers(), report);
+    const auto sender = this->view->daemons.find(sum.daemon);
+    const bool isForwarded = sender == this->view->daemons.end() || sender->second.dataCentre != sum.dataCentre;
+    const std::vector<std::string> aggregators = this->aggregatorsOf(this->adapter.deployment.dataCentre);
+    if (isForwarded || aggregators.size() < 2 || aggregators.front() != this->adapter.deployment.daemonId) {
+        return;
     }
+    // The proofs of the sum cannot be passed on: their age is known to this daemon only.
+    DaemonReport forwarded = sum;
+    forwarded.daemon = this->adapter.deployment.daemonId;
+    forwarded.proofs.clear();
+    forwarded.stamp = {};
+    forwarded.echo = {};
+    const PeerDaemon &deputy = this->view->daemons.find(aggregators[1])->second;
+    this->reports->send({deputy.endpoint.address(), this->adapter.deployment.reportListen.port()},
+                        json::serialize(toJson(forwarded)));
 }
 
-void GatewayDaemon::receiveReport(std::string_view payload)
+FleetDigest GatewayDaemon::ownDigest() const
+{
+    FleetDigest digest = this->aggregator.digest(this->ownReport(), this->registeredDataCentres, core::Clock::now());
+    digest.includedSequence = this->sentReports.lastSequence();
+    digest.relays = this->chosenRelays();
+    return digest;
+}
+
+void GatewayDaemon::addProofs(FleetDigest &digest) const
+{
+    const core::BootTime now = core::BootClock::now();
+    digest.stamp = this->stampClock.stamp(now);
+    digest.proofs = this->localProofs.aged(now);
+    session::addYounger(digest.proofs, this->remoteProofs.aged(now));
+}
+
+void GatewayDaemon::sendDigest(const net::UdpEndpoint &receiver, std::string_view daemon)
+{
+    const core::TimePoint now = core::Clock::now();
+    SharedDigest &shared = this->sharedDigest;
+    if (now - shared.builtAt >= DigestReuse) {
+        shared = {
+            .digest = this->ownDigest(), .includedSequences = this->aggregator.includedSequences(now), .builtAt = now};
+    }
+    const auto included = shared.includedSequences.find(daemon);
+    shared.digest.includedSequence = included == shared.includedSequences.end() ? 0 : included->second;
+    shared.digest.echo = this->stampOf(daemon);
+    this->addProofs(shared.digest);
+    this->reports->send(receiver, json::serialize(toJson(shared.digest)));
+}
+
+void GatewayDaemon::pushDigest()
+{
+    this->sharedDigest.builtAt = {};
+    const std::uint16_t port = this->adapter.deployment.reportListen.port();
+    for (const PeerDaemon *const peer : this->localPeers()) {
+        this->sendDigest({peer->endpoint.address(), port}, peer->id);
+    }
+}
+
+void GatewayDaemon::receiveReport(const net::UdpEndpoint &sender, std::string_view payload)
 {
-    DaemonReport report;
     try {
-        report = core::valueOrThrow([payload]() -> boost::leaf::result<DaemonReport> {
-            BOOST_LEAF_AUTO(body, core::parseJsonObject(payload));
-            return daemonReportFromJson(body);
-        });
-    } catch (const core::Error &error) {
-        this->log.line("report_unreadable", telemetry::LogLevel::Warning).field("reason", error.message);
-        return;
+        const json::object body = core::valueOrThrow([payload] { return core::parseJsonObject(payload); });
+        if (isFleetDigest(body)) {
+            this->applyDigest(core::valueOrThrow([&body] { return fleetDigestFromJson(body); }));
+        } else {
+            this->applyReport(sender, core::valueOrThrow([&body] { return daemonReportFromJson(body); }));
+        }
+    } catch (const std::exception &error) {
+        // One datagram that cannot be used must not end the process.
+        this->log.line("report_unreadable", telemetry::LogLevel::Warning).field("reason", error.what());
     }
+}
+
+void GatewayDaemon::applyReport(const net::UdpEndpoint &sender, const DaemonReport &report)
+{
     const core::TimePoint now = core::Clock::now();
-    this->applyLeaving(report);
-    if (report.dataCentre.empty()) {
-        this->localReports[report.daemon] = report;
+    const bool isSum = !report.dataCentre.empty();
+    const std::string &dataCentre = isSum ? report.dataCentre : this->adapter.deployment.dataCentre;
+    this->aggregator.record(report, now);
+    if (report.stamp.process != 0) {
+        this->peerStamps.insert_or_assign(report.daemon, report.stamp);
+    }
+    if (const auto madeAfter = this->stampClock.timeOf(report.echo, core::BootClock::now())) {
+        (isSum ? this->remoteProofs : this->localProofs).record(report.proofs, *madeAfter);
+    }
+    this->recordStoreContact(dataCentre, now - report.storeAge);
+    if (isSum) {
+        this->applyLeaving(dataCentre, report.leaving);
+        this->forwardToDeputy(report);
     } else {
-        this->forwardReport(report);
-    }
-    const std::string &reporter = report.dataCentre.empty() ? report.daemon : report.dataCentre;
-    this->shares.report(reporter, report.demand, report.daemons, now);
-    this->storeAges[reporter] = report.storeAge;
-    this->reportedAt[reporter] = now;
-    bool hasNewPromotion = false;
-    for (const auto &[service, promotion] : report.promotions) {
-        hasNewPromotion = this->applyPromotion(service, promotion.server, promotion.fence) || hasNewPromotion;
-    }
-    if (hasNewPromotion && report.dataCentre.empty()) {
-        // Callers in all data centres wait for the new primary, so the sum is sent without waiting for the next
+        this->setLeaving(report.daemon, report.leaving.contains(report.daemon));
+        if (report.wantsDigest) {
+            this->sendDigest(sender, report.daemon);
+        }
+    }
+    if (this->applyPromotions(report.promotions)) {
+        // Callers in all data centres wait for the new primary, so the news is sent on without waiting for the next
         // interval.
-        this->sendToDataCentres();
+        if (isSum) {
+            this->pushDigest();
+        } else {
+            this->sendToDataCentres();
+        }
+    }
+    this->announceRevision(isSum ? report.revisionHolders : std::vector<std::string>{report.daemon},
+                           report.metadataRevision);
+}
+
+void GatewayDaemon::applyDigest(const FleetDigest &digest)
+{
+    const core::TimePoint now = core::Clock::now();
+    const std::string &self = this->adapter.deployment.daemonId;
+    if (digest.daemon != self) {
+        this->aggregatorChoice.digestReceived(digest.daemon, now);
+        this->digestAt = now;
+        this->relays = digest.relays;
+        this->peerStamps.insert_or_assign(digest.daemon, digest.stamp);
+    }
+    if (const auto madeAfter = this->stampClock.timeOf(digest.echo, core::BootClock::now())) {
+        this->useProofs(digest.proofs, *madeAfter);
+    }
+    for (const auto &[name, total] : digest.regions) {
+        const bool isOwn = name == this->adapter.deployment.region;
+        RegionDemand others = isOwn ? this->sentReports.withoutOwn(total, digest.includedSequence) : total;
+        // A daemon that hears nobody must not count the sums that it still keeps as contact.
+        const std::optional<core::Milliseconds> age
+            = isOwn && digest.daemon != self ? std::optional(core::Milliseconds::zero()) : total.age;
+        if (age && others.daemons > 0) {
+            this->shares.report(name, std::move(others.demand), others.daemons, now - *age);
+        }
+    }
+    for (const auto &[dataCentre, summary] : digest.dataCentres) {
+        this->recordStoreContact(dataCentre, now - summary.storeAge - summary.age);
+        this->applyLeaving(dataCentre, summary.leaving);
+        this->announceRevision(summary.revisionHolders, summary.metadataRevision);
+    }
+    this->applyPromotions(digest.promotions);
+}
+
+void GatewayDaemon::recordStoreContact(const std::string &dataCentre, core::TimePoint contact)
+{
+    const auto [known, isNew] = this->storeContacts.try_emplace(dataCentre, contact);
+    known->second = std::max(known->second, contact);
+}
+
+void GatewayDaemon::announceRevision(const std::vector<std::string> &holders, std::int64_t revision)
+{
+    if (holders.empty() || revision <= this->metadata->revision()) {
+        return;
+    }
+    // All daemons of the data centre hear of a change at the same time and must not all pull it from the same daemon.
+    const std::vector<std::string> order = core::rendezvousOrder(this->adapter.deployment.daemonId, holders);
+    this->metadata->onRevisionAnnounced(order.front(), revision);
+}
+
+bool GatewayDaemon::applyPromotions(const Promotions &promotions)
+{
+    bool hasNew = false;
+    for (const auto &[service, promotion] : promotions) {
+        hasNew = this->applyPromotion(service, promotion.server, promotion.fence) || hasNew;
+    }
+    return hasNew;
+}
+
+void GatewayDaemon::setLeaving(const std::string &daemon, bool isLeaving)
+{
+    const bool isChanged
+        = isLeaving ? this->leavingDaemons.insert(daemon).second : this->leavingDaemons.erase(daemon) > 0;
+    if (isChanged) {
+        this->scheduleView();
     }
-    this->metadata->onRevisionAnnounced(report.daemon, report.metadataRevision);
 }
 
-void GatewayDaemon::applyLeaving(const DaemonReport &report)
+void GatewayDaemon::applyLeaving(std::string_view dataCentre, const std::set<std::string, std::less<>> &leaving)
 {
-    std::set<std::string, std::less<>> next = report.leaving;
+    std::set<std::string, std::less<>> next = leaving;
     for (const std::string &daemon : this->leavingDaemons) {
         const auto known = this->view->daemons.find(daemon);
-        const bool isReported = report.dataCentre.empty()
-            ? daemon == report.daemon
-            : known != this->view->daemons.end() && known->second.dataCentre == report.dataCentre;
-        if (!isReported) {
+        const bool isOfDataCentre = known != this->view->daemons.end() && known->second.dataCentre == dataCentre;
+        if (!isOfDataCentre) {
             next.insert(daemon);
         }
     }
--- a/gateway/metadatamirror.cpp
+++ b/gateway/metadatamirror.cpp
@@ -1,8 +1,7 @@
 #include "gateway/metadatamirror.h"
 
-#include <set>
+#include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace endiveshore::gateway {
 
@@ -20,39 +19,58 @@
 {
 }
 
-void MetadataMirror::apply(const confsync::EntryStore &entries, core::TimePoint now)
+std::vector<std::string> MetadataMirror::takeChangedKeys(const confsync::EntryStore &entries)
 {
     std::vector<std::string> changed;
-    // The versions known at the previous call. The keys that remain after the visit have been removed.
-    std::map<std::string, std::int64_t, std::less<>> known = std::exchange(this->versions, {});
+    // Both maps are ordered by key, so one pass finds the new, the changed and the removed keys.
+    auto known = this->versions.begin();
+    const auto takeRemovedBefore = [&](std::string_view key) {
+        while (known != this->versions.end() && known->first < key) {
+            changed.push_back(known->first);
+            known = this->versions.erase(known);
+        }
+    };
     entries.visit({}, [&](std::string_view key, const confsync::Entry &entry) {
-        const auto before = known.find(key);
-        if (before == known.end() || before->second != entry.version) {
-            changed.emplace_back(key);
+        takeRemovedBefore(key);
+        if (known == this->versions.end() || known->first != key) {
+            known = this->versions.emplace_hint(known, key, 0);
         }
-        if (before != known.end()) {
-            known.erase(before);
+        if (known->second != entry.version) {
+            known->second = entry.version;
+            changed.emplace_back(key);
         }
-        this->versions.emplace(key, entry.version);
+        ++known;
     });
-    for (const auto &[key, version] : known) {
-        changed.push_back(key);
+    while (known != this->versions.end()) {
+        changed.push_back(known->first);
+        known = this->versions.erase(known);
     }
+    return changed;
+}
+
+void MetadataMirror::apply(const confsync::EntryStore &entries, core::TimePoint now)
+{
     bool serversChanged = false;
     bool configurationChanged = false;
     std::vector<OwnEntry> ownEntries;
-    for (const std::string &key : changed) {
+    for (const std::string &key : this->takeChangedKeys(entries)) {
         const confsync::Entry *const entry = entries.find(key);
+        const std::int64_t version = entries.versionOf(key).value_or(entries.revision());
+        bool isSignificant = true;
         if (key.starts_with(this->format.serverPrefix)) {
-            serversChanged = this->applyServer(key, entry, now) || serversChanged;
+            const ServerChange change = this->applyServer(key, entry, now);
+            isSignificant = change != ServerChange::Heartbeat;
+            serversChanged = change == ServerChange::Content || serversChanged;
         } else if (key == this->format.configurationKey) {
             configurationChanged = entry != nullptr && this->applyConfiguration(entry->value);
         } else if (key.starts_with(OwnKeyPrefix)) {
-            ownEntries.push_back(
-                {.key = key,
-                 .value = entry == nullptr ? std::string() : entry->value,
-                 .revision = static_cast<std::uint64_t>(entry == nullptr ? entries.revision() : entry->version),
-                 .isRemoved = entry == nullptr});
+            ownEntries.push_back({.key = key,
+                                  .value = entry == nullptr ? std::string() : entry->value,
+                                  .revision = static_cast<std::uint64_t>(version),
+                                  .isRemoved = entry == nullptr});
+        }
+        if (isSignificant) {
+            this->significant = std::max(this->significant, version);
         }
     }
     // Sessions start as soon as the configuration is known, so the servers and the daemons that share the rates have to
@@ -68,7 +86,8 @@
     }
 }
 
-bool MetadataMirror::applyServer(std::string_view key, const confsync::Entry *entry, core::TimePoint now)
+MetadataMirror::ServerChange
+MetadataMirror::applyServer(std::string_view key, const confsync::Entry *entry, core::TimePoint now)
 {
     const std::string id(key.substr(this->format.serverPrefix.size()));
     std::optional<BackendServer> server;
@@ -82,29 +101,41 @@
         }
     }
     if (!server) {
-        if (this->catalogue.contains(id)) {
-            this->removedAt.try_emplace(id, now);
-        }
-        return false;
+        const bool isRemoval = this->catalogue.contains(id) && this->removedAt.try_emplace(id, now).second;
+        return isRemoval ? ServerChange::Presence : ServerChange::Heartbeat;
+    }
+    const bool isBack = this->removedAt.erase(id) > 0;
+    if (this->applyServerEntry(std::move(*server))) {
+        return ServerChange::Content;
     }
-    this->removedAt.erase(id);
-    const auto known = this->catalogue.find(id);
-    const bool isChanged = known == this->catalogue.end() || known->second.isLeaving != server->isLeaving
-        || known->second.claimsPrimary != server->claimsPrimary || known->second.startedAt != server->startedAt
-        || known->second.slots != server->slots || known->second.endpoint != server->endpoint
-        || known->second.service != server->service;
+    return isBack ? ServerChange::Presence : ServerChange::Heartbeat;
+}
+
+bool MetadataMirror::applyServerEntry(BackendServer server)
+{
+    const auto known = this->catalogue.find(server.id);
+    const bool isChanged = known == this->catalogue.end() || known->second.isLeaving != server.isLeaving
+        || known->second.claimsPrimary != server.claimsPrimary || known->second.startedAt != server.startedAt
+        || known->second.slots != server.slots || known->second.endpoint != server.endpoint
+        || known->second.service != server.service;
     if (isChanged) {
         this->log.line("server_changed")
-            .field("server", id)
-            .field("service", server->service)
-            .field("primary", server->claimsPrimary)
-            .field("leaving", server->isLeaving)
-            .field("revision", server->revision);
+            .field("server", server.id)
+            .field("service", server.service)
+            .field("primary", server.claimsPrimary)
+            .field("leaving", server.isLeaving)
+            .field("revision", server.revision);
     }
-    this->catalogue.insert_or_assign(id, std::move(*server));
+    std::string id = server.id;
+    this->catalogue.insert_or_assign(std::move(id), std::move(server));
     return isChanged;
 }
 
+std::int64_t MetadataMirror::significantRevision() const
+{
+    return this->significant;
+}
+
 bool MetadataMirror::applyConfiguration(std::string_view text)
 {
     std::optional<Configuration> read = this->format.readConfiguration(text);
--- a/gateway/metadatamirror.h
+++ b/gateway/metadatamirror.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace endiveshore::gateway {
 
@@ -55,11 +56,24 @@
     /// @p storeContact is the last contact of any daemon with the store. To be called about every 100 ms.
     void tick(core::TimePoint storeContact);
 
+    /// Revision of the last change that a daemon has to know; the heartbeats of servers are none. Other daemons need
+    /// the entries only up to this revision.
+    std::int64_t significantRevision() const;
+
     const ServerCatalogue &servers() const;
     std::shared_ptr<const Configuration> configuration() const;
 
 private:
-    bool applyServer(std::string_view key, const confsync::Entry *entry, core::TimePoint now);
+    enum class ServerChange {
+        Heartbeat, ///< The entry was only written again.
+        Presence, ///< The entry was deleted or is back.
+        Content,
+    };
+
+    /// Keys whose version has changed since the last call, and updates the known versions.
+    std::vector<std::string> takeChangedKeys(const confsync::EntryStore &entries);
+    ServerChange applyServer(std::string_view key, const confsync::Entry *entry, core::TimePoint now);
+    bool applyServerEntry(BackendServer server);
     bool applyConfiguration(std::string_view text);
 
     MetadataFormat format;
@@ -70,6 +84,7 @@
     /// Servers whose entry was deleted, with the time; kept until the removal delay has passed.
     std::map<std::string, core::TimePoint, std::less<>> removedAt;
     std::shared_ptr<const Configuration> newest;
+    std::int64_t significant = 0;
 };
 
 }
--- a/gateway/metadatasource.cpp
+++ b/gateway/metadatasource.cpp
@@ -28,8 +28,10 @@
 /// wait for the first successful read.
 constexpr std::chrono::milliseconds ReadTimeout{700};
 /// Pause between two watches, per daemon that watches the store.
-constexpr std::chrono::milliseconds PausePerWatcher{15};
-constexpr std::chrono::milliseconds LongestPause{1'200};
+constexpr std::chrono::milliseconds PausePerWatcher{40};
+/// Part of the change deadline that the pause takes at most. A change waits for the pause, and for as long as a watch
+/// that hangs.
+constexpr int PauseDivisor = 16;
 
 }
 
@@ -121,9 +123,9 @@
         }
         // Changes often come in series. In a large fleet, fetching several changes in one call saves the store many
         // calls.
-        asio::steady_timer pause(
-            this->executor,
-            std::min<std::chrono::milliseconds>(static_cast<int>(this->watchers) * PausePerWatcher, LongestPause));
+        asio::steady_timer pause(this->executor,
+                                 std::min<std::chrono::milliseconds>(static_cast<int>(this->watchers) * PausePerWatcher,
+                                                                     this->longestPause()));
         co_await pause.async_wait(UseTuple);
     }
 }
@@ -161,7 +163,12 @@
 
 core::Milliseconds MetadataSource::longestSilence() const
 {
-    return this->watchWait() + WatchResponseMargin + LongestPause;
+    return this->watchWait() + WatchResponseMargin + this->longestPause();
+}
+
+core::Milliseconds MetadataSource::longestPause() const
+{
+    return this->options.changeDeadline / PauseDivisor;
 }
 
 std::optional<core::TimePoint> MetadataSource::lastContact() const
--- a/gateway/metadatasource.h
+++ b/gateway/metadatasource.h
@@ -44,6 +44,7 @@
 private:
     net::awaitable<void> addChangesWhileReading(daemon::ConfigurationSnapshot &snapshot);
     core::Milliseconds watchWait() const;
+    core::Milliseconds longestPause() const;
     void recordContact();
     void recordLoss(std::string_view reason);
     bool isFollowed(std::string_view key) const;
--- a/gateway/operationrunner.cpp
+++ b/gateway/operationrunner.cpp
@@ -43,8 +43,9 @@
 constexpr std::chrono::milliseconds LostConnectionPenalty{500};
 /// Part of a route's maximum age reserved for the transit of the read to the server, during which the proof ages.
 constexpr std::chrono::milliseconds ProofMargin{100};
-/// Proofs are renewed once they are older than the accepted age divided by this number.
-constexpr int ProofRenewalDivisor = 2;
+/// A daemon asks the primary itself when the newest proof has this much left of the accepted age. Until then it waits
+/// for the proofs that other daemons took, which come with the digests.
+constexpr std::chrono::milliseconds ProofRenewalReserve{400};
 /// Proofs of a service are renewed for this long after its last read.
 constexpr std::chrono::seconds ProofUseWindow{3};
 constexpr std::chrono::milliseconds ProofTimeout{500};
@@ -302,6 +303,11 @@
     }
 }
 
+void OperationRunner::recordProof(const std::string &service, session::LogPosition position, core::BootTime takenAt)
+{
+    this->services[service].proofs.record(position, takenAt);
+}
+
 net::awaitable<bool> OperationRunner::prove(std::string service, std::string workspace, core::Milliseconds limit)
 {
     const BackendServer *const primary = this->view->primary(service);
@@ -326,7 +332,7 @@
             continue;
         }
         const std::optional<core::Duration> age = state.proofs.age(core::BootClock::now());
-        if (age && *age < state.proofAge / ProofRenewalDivisor) {
+        if (age && *age + ProofRenewalReserve < state.proofAge) {
             continue;
         }
         state.proving = true;
--- a/gateway/operationrunner.h
+++ b/gateway/operationrunner.h
@@ -48,6 +48,9 @@
     /// Runs a unit of an open transaction.
     net::awaitable<StatementOutcome> continueTransaction(UnitPlace place, pooling::WorkUnit unit);
 
+    /// Records a proof of the primary of @p service that another daemon took.
+    void recordProof(const std::string &service, session::LogPosition position, core::BootTime takenAt);
+
     /// Renews the proofs of freshness of services that callers read. To be called about every 100 ms.
     void tick(core::TimePoint now);
 
--- a/gateway/trafficcore.cpp
+++ b/gateway/trafficcore.cpp
@@ -205,14 +205,23 @@
     co_return co_await asio::co_spawn(this->context, this->router.runHedged(std::move(unit)), asio::use_awaitable);
 }
 
-net::awaitable<std::map<std::string, std::uint64_t, std::less<>>> TrafficCore::takeDemand()
+net::awaitable<TrafficReport> TrafficCore::takeReport()
 {
-    const auto take = [this]() -> net::awaitable<std::map<std::string, std::uint64_t, std::less<>>> {
-        co_return this->rates.limiter().takeDemand();
+    const auto take = [this]() -> net::awaitable<TrafficReport> {
+        co_return TrafficReport{.demand = this->rates.limiter().takeDemand(), .proofs = this->router.takeProofs()};
     };
     co_return co_await asio::co_spawn(this->context, take, asio::use_awaitable);
 }
 
+void TrafficCore::recordProofs(std::map<std::string, TakenProof, std::less<>> proofs)
+{
+    asio::post(this->context, [this, proofs = std::move(proofs)] {
+        for (const auto &[service, proof] : proofs) {
+            this->runner.recordProof(service, proof.position, proof.takenAt);
+        }
+    });
+}
+
 void TrafficCore::stopAccepting()
 {
     asio::post(this->context, [this] {
--- a/gateway/trafficcore.h
+++ b/gateway/trafficcore.h
@@ -23,6 +23,15 @@
     std::function<void(std::string service, std::string server)> onNotPrimary;
 };
 
+/// What the control thread reports to other daemons.
+struct TrafficReport
+{
+    /// Demand since the last report, in operations by workspace.
+    std::map<std::string, std::uint64_t, std::less<>> demand;
+    /// Newest proofs taken by this daemon since the last report, by service.
+    std::map<std::string, TakenProof, std::less<>> proofs;
+};
+
 /// Path on which daemons exchange the entries of the metadata store.
 inline constexpr std::string_view MetadataPath = "/peer/metadata";
 
@@ -46,8 +55,10 @@
     /// Runs WorkRouter::runHedged() on the traffic thread. May be awaited on any executor.
     net::awaitable<pooling::UnitResult> runHedged(pooling::WorkUnit unit);
 
-    /// Demand since the last call, in operations by workspace.
-    net::awaitable<std::map<std::string, std::uint64_t, std::less<>>> takeDemand();
+    net::awaitable<TrafficReport> takeReport();
+
+    /// Hands proofs of other daemons to the reads of this one.
+    void recordProofs(std::map<std::string, TakenProof, std::less<>> proofs);
 
     /// Stops accepting sessions; open sessions continue.
     void stopAccepting();
--- a/limits/demandshares.cpp
+++ b/limits/demandshares.cpp
@@ -21,14 +21,15 @@
 {
 }
 
-void DemandShares::report(std::string_view reporter, Demand demand, std::size_t daemons, core::TimePoint now)
+void DemandShares::report(std::string_view reporter, Demand demand, std::size_t daemons, core::TimePoint receivedAt)
 {
     if (reporter == this->self) {
         return;
     }
-    this->lastReportAt = now;
+    this->lastReportAt = std::max(receivedAt, this->lastReportAt.value_or(receivedAt));
     this->reports.insert_or_assign(std::string(reporter),
-                                   Report{.demand = std::move(demand), .daemons = daemons, .receivedAt = now});
+                                   Report{.demand = std::move(demand), .daemons = daemons, .receivedAt = receivedAt});
+    this->countUnreported();
 }
 
 void DemandShares::setOwnDemand(Demand demand)
@@ -39,6 +40,7 @@
 void DemandShares::setLeaseHolders(std::map<std::string, std::size_t, std::less<>> holders)
 {
     this->leaseHolders = std::move(holders);
+    this->countUnreported();
 }
 
 void DemandShares::recordStoreContact(core::TimePoint now)
@@ -51,6 +53,7 @@
     const auto found = this->reports.find(daemon);
     if (found != this->reports.end()) {
         this->reports.erase(found);
+        this->countUnreported();
     }
 }
 
@@ -71,17 +74,16 @@
     return now < std::max(lastContact, this->startedAt) + this->options.contactTimeout;
 }
 
-std::map<std::string, std::size_t, std::less<>> DemandShares::unreportedDaemons() const
+void DemandShares::countUnreported()
 {
-    std::map<std::string, std::size_t, std::less<>> missing;
+    this->unreported.clear();
     for (const auto &[reporter, daemons] : this->leaseHolders) {
         const auto report = this->reports.find(reporter);
         const std::size_t reported = report == this->reports.end() ? 0 : report->second.daemons;
         if (reporter != this->self && daemons > reported) {
-            missing.emplace(reporter, daemons - reported);
+            this->unreported.emplace(reporter, daemons - reported);
         }
     }
-    return missing;
 }
 
 std::size_t DemandShares::holders(core::TimePoint now) const
@@ -90,7 +92,7 @@
     for (const auto &[reporter, report] : this->reports) {
         count += this->holdsShare(reporter, report, now) ? report.daemons : 0;
     }
-    for (const auto &[reporter, daemons] : this->unreportedDaemons()) {
+    for (const auto &[reporter, daemons] : this->unreported) {
         count += daemons;
     }
     return count;
@@ -130,7 +132,7 @@
             daemons += report.daemons;
         }
     }
-    for (const auto &[reporter, count] : this->unreportedDaemons()) {
+    for (const auto &[reporter, count] : this->unreported) {
         if (reporters.contains(reporter)) {
             wanted += demandFor(this->own, workspace) * static_cast<double>(count);
             daemons += count;
@@ -151,7 +153,7 @@
             total += demandFor(report.demand, workspace);
         }
     }
-    for (const auto &[reporter, daemons] : this->unreportedDaemons()) {
+    for (const auto &[reporter, daemons] : this->unreported) {
         total += demandFor(this->own, workspace) * static_cast<double>(daemons);
     }
     return total;
--- a/limits/demandshares.h
+++ b/limits/demandshares.h
@@ -45,8 +45,8 @@
     DemandShares(std::string self, core::TimePoint startedAt, DemandSharesOptions options = {});
 
     /// Records the demand reported by a daemon, or the sum reported for a group of @p daemons daemons, for example of a
-    /// data centre.
-    void report(std::string_view reporter, Demand demand, std::size_t daemons, core::TimePoint now);
+    /// region. @p receivedAt is the time of the newest report in the sum.
+    void report(std::string_view reporter, Demand demand, std::size_t daemons, core::TimePoint receivedAt);
 
     void setOwnDemand(Demand demand);
 
@@ -86,8 +86,8 @@
 
     double shareFor(double wanted, double total, double ratePerSecond, double daemons, double allDaemons) const;
     double totalDemand(std::string_view workspace, core::TimePoint now) const;
-    /// Number of daemons that hold a lease but are not yet counted in the last report of their reporter, by reporter.
-    std::map<std::string, std::size_t, std::less<>> unreportedDaemons() const;
+    /// Updates `unreported` after a change of the reports or of the lease holders.
+    void countUnreported();
 
     std::string self;
     core::TimePoint startedAt;
@@ -95,6 +95,8 @@
     Demand own;
     std::map<std::string, Report, std::less<>> reports;
     std::map<std::string, std::size_t, std::less<>> leaseHolders;
+    /// Number of daemons that hold a lease but are not yet counted in the last report of their reporter, by reporter.
+    std::map<std::string, std::size_t, std::less<>> unreported;
     std::optional<core::TimePoint> lastStoreContactAt;
     std::optional<core::TimePoint> lastReportAt; ///< Receipt of the last report of any peer.
 };
--- a/tests/gateway/test_metadatamirror.cpp
+++ b/tests/gateway/test_metadatamirror.cpp
@@ -151,4 +151,24 @@
     EXPECT_EQ(this->serverChanges, 1);
 }
 
+// Guards against a fleet in which every daemon pulls every heartbeat of every server: only changes that a daemon acts
+// on raise the revision that it announces.
+TEST_F(MetadataMirrorTest, HeartbeatsDoNotRaiseTheSignificantRevision)
+{
+    this->change({{.key = "config/main", .value = "1"}, {.key = "servers/a", .value = "primary"}});
+    EXPECT_EQ(this->mirror.significantRevision(), 1);
+    this->change({{.key = "servers/a", .value = "primary"}});
+    EXPECT_EQ(this->mirror.significantRevision(), 1);
+    this->change({{.key = "servers/a", .value = "replica"}});
+    EXPECT_EQ(this->mirror.significantRevision(), 3);
+    this->change({{.key = "servers/a", .deleted = true}});
+    EXPECT_EQ(this->mirror.significantRevision(), 4);
+    this->change({{.key = "servers/a", .value = "replica"}});
+    EXPECT_EQ(this->mirror.significantRevision(), 5);
+    this->change({{.key = "servers/a", .value = "replica"}});
+    EXPECT_EQ(this->mirror.significantRevision(), 5);
+    this->change({{.key = std::string(OwnKeyPrefix) + "daemons/d", .value = "{}"}});
+    EXPECT_EQ(this->mirror.significantRevision(), 7);
+}
+
 }
--- a/tests/sessions/sessionfleet.cpp
+++ b/tests/sessions/sessionfleet.cpp
@@ -5,6 +5,7 @@
 #include "platform/standins/platformdocuments.h"
 #include "tools/deployment.h"
 
+#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
@@ -126,6 +127,24 @@
     return this->logOf(index).find("event=" + std::string(event) + ' ') != std::string::npos;
 }
 
+void SessionFleet::sendGossip(std::size_t index, std::string_view payload) const
+{
+    this->sendDatagram(index, PeerOffset, payload);
+}
+
+void SessionFleet::sendReport(std::size_t index, std::string_view payload) const
+{
+    this->sendDatagram(index, PeerOffset + 1, payload);
+}
+
+void SessionFleet::sendDatagram(std::size_t index, int portOffset, std::string_view payload) const
+{
+    boost::asio::io_context context;
+    boost::asio::ip::udp::socket socket(context, boost::asio::ip::udp::v4());
+    const auto to = static_cast<unsigned short>(this->port + portOffset);
+    socket.send_to(boost::asio::buffer(payload.data(), payload.size()), {this->addressOf(index), to});
+}
+
 void SessionFleet::writeMalformedEntries()
 {
     this->writeMalformedServers();
--- a/tests/sessions/sessionfleet.h
+++ b/tests/sessions/sessionfleet.h
@@ -52,6 +52,10 @@
     /// Writes entries of servers that are malformed, deeply nested, or have numbers or ports out of range.
     void writeMalformedServers();
 
+    /// Sends a datagram to the daemon's port for gossip or for reports, which follows that for gossip.
+    void sendGossip(std::size_t index, std::string_view payload) const;
+    void sendReport(std::size_t index, std::string_view payload) const;
+
     /// Writes a new version of the configuration, in which the workspace has only the API key @p key.
     void configure(std::string_view key);
 
@@ -62,6 +66,7 @@
 
 private:
     void startDaemon(std::size_t index);
+    void sendDatagram(std::size_t index, int portOffset, std::string_view payload) const;
     std::string fileOf(std::size_t index, std::string_view extension) const;
 
     std::size_t daemonCount;
--- a/tests/sessions/test_sessions.cpp
+++ b/tests/sessions/test_sessions.cpp
@@ -225,6 +225,35 @@
     }
 }
 
+// Guards against a whole daemon that ends because of one datagram: a report with a number out of range, or the news of
+// a daemon whose address cannot be used.
+TEST_F(Sessions, MalformedDatagramsEndNoDaemon)
+{
+    for (std::size_t daemon = 0; daemon < SessionFleet::Daemons; ++daemon) {
+        this->fleet.sendReport(daemon, R"({"i":"ghost","d":{},"p":{"ledger":["server-1",-1]}})");
+        this->fleet.sendReport(daemon, R"({"i":"ghost","g":{"r":{"d":{"w":-1}}},"c":{}})");
+        this->fleet.sendReport(daemon, "[[[");
+        this->fleet.sendGossip(daemon, R"({"t":"ping","f":"ghost","s":1,"m":[["ghost","nowhere","z1","r1",0,1,0,0]]})");
+    }
+    const auto areLogged = [this] {
+        for (std::size_t daemon = 0; daemon < SessionFleet::Daemons; ++daemon) {
+            if (!this->fleet.hasLogged(daemon, "report_unreadable")
+                || !this->fleet.hasLogged(daemon, "daemon_unusable")) {
+                return false;
+            }
+        }
+        return true;
+    };
+    EXPECT_TRUE(Deployment::waitUntil(areLogged, ConfigurationLimit));
+    for (std::size_t daemon = 0; daemon < SessionFleet::Daemons; ++daemon) {
+        EXPECT_TRUE(this->fleet.isReady(daemon)) << daemon;
+        const std::string item = "item-" + std::to_string(daemon);
+        LineCaller caller = this->fleet.connect(daemon);
+        ASSERT_TRUE(caller.start(SessionFleet::PrimaryDatabase, SessionFleet::Key).succeeded()) << daemon;
+        EXPECT_TRUE(caller.query("w" + item, "WRITE " + item + " value").succeeded()) << daemon;
+    }
+}
+
 // Guards against a second promotion by a former holder of the promotion duty: the holder was suspended, a different
 // daemon was elected and ordered a promotion, and the former holder then resumes.
 TEST_F(Sessions, AHolderThatWasSuspendedOrdersNothingLate)
