Keep a read that may have run in the count of its rate

Cause: an operation that no server ran is given back to the rate of its workspace. Only the last attempt was looked at: a read that one server ran without answering, and that no other server accepted, was given back although it had run. While a server is slow or its answers are lost, a workspace above its rate thus got more than its rate. Change: StatementOutcome says whether a server may have run the statement in any of the attempts.

--- a/gateway/callersession.cpp
+++ b/gateway/callersession.cpp
@@ -205,10 +205,9 @@
     co_return admitted ? std::nullopt : std::optional(CallerError::OverRate);
 }
 
-void CallerSession::returnUnusedRate(const std::string &workspace, const UnitResult &result)
+void CallerSession::returnUnusedRate(const std::string &workspace, const StatementOutcome &outcome)
 {
-    const bool neverRan = result.error != UnitError::NoAnswer && result.error != UnitError::ConnectionLost;
-    if (result.outcome == UnitOutcome::NotRun && neverRan) {
+    if (!outcome.mayHaveRun) {
         this->context->rates->returnOperation(workspace);
     }
 }
@@ -245,7 +244,7 @@
     const std::string workspace = operation.workspace;
     const StatementOutcome outcome
         = co_await this->context->runner->run(std::move(operation), std::move(unit), !writes);
-    this->returnUnusedRate(workspace, outcome.result);
+    this->returnUnusedRate(workspace, outcome);
     if (writes && outcome.result.outcome == UnitOutcome::Done) {
         this->position = session::laterOf(this->position, outcome.result.position);
     }
--- a/gateway/callersession.h
+++ b/gateway/callersession.h
@@ -83,7 +83,7 @@
     net::awaitable<std::optional<CallerError>> admit(OperationContext &context);
     net::awaitable<void> endTransaction();
     /// Gives an admitted operation back to the rate of @p workspace if no server ran the operation.
-    void returnUnusedRate(const std::string &workspace, const pooling::UnitResult &result);
+    void returnUnusedRate(const std::string &workspace, const StatementOutcome &outcome);
     std::optional<CallerError> checkAccess(OperationContext &context) const;
     pooling::WorkUnit transactionUnit(pooling::UnitKind kind, std::string id) const;
     CallerReply reply(const pooling::UnitResult &result, bool writes);
--- a/gateway/callertransactions.cpp
+++ b/gateway/callertransactions.cpp
@@ -69,7 +69,7 @@
         outcome = co_await this->context->runner->run(std::move(operation), std::move(unit), open.readOnly);
         open.lease = outcome.result.lease;
         open.place = outcome.place;
-        this->returnUnusedRate(open.context.workspace, outcome.result);
+        this->returnUnusedRate(open.context.workspace, outcome);
     } else {
         WorkUnit next = this->transactionUnit(UnitKind::InTransaction, std::move(unit.id));
         next.text = std::move(unit.text);
--- a/gateway/operationrunner.cpp
+++ b/gateway/operationrunner.cpp
@@ -68,6 +68,13 @@
     return found != times.end() && now < found->second;
 }
 
+/// True if the result shows that no server ran the unit.
+bool isKnownNotRun(const UnitResult &result)
+{
+    return result.outcome == UnitOutcome::NotRun && result.error != UnitError::NoAnswer
+        && result.error != UnitError::ConnectionLost;
+}
+
 bool isFinal(const UnitResult &result, bool writes)
 {
     switch (result.outcome) {
@@ -241,6 +248,7 @@
         }
         const std::string server = next.server;
         outcome.result = co_await this->router.run(std::move(next), outcome.place);
+        outcome.mayHaveRun = outcome.mayHaveRun || !isKnownNotRun(outcome.result);
         this->recordProof(route.service, outcome.result);
         this->logAttempt(context, unit, outcome.place, outcome.result, attempt);
         if (isFinal(outcome.result, !readOnly)) {
--- a/gateway/operationrunner.h
+++ b/gateway/operationrunner.h
@@ -22,8 +22,9 @@
 /// Result of a statement, and where its unit of work ran.
 struct StatementOutcome
 {
-    pooling::UnitResult result;
+    pooling::UnitResult result; ///< Result of the last attempt.
     UnitPlace place;
+    bool mayHaveRun = false; ///< A server may have run the statement in any of the attempts.
 };
 
 /// Runs the statements of callers: chooses a server that satisfies the route's consistency, and retries statements that
--- a/tests/gateway/test_callersession.cpp
+++ b/tests/gateway/test_callersession.cpp
@@ -298,6 +298,28 @@
     EXPECT_EQ(this->backends["p"]->statements().size(), 1U);
 }
 
+// Guards against a rate that is exceeded while answers are lost: a read that a server ran without answering, and that
+// no server accepted when it was tried again, was given back to the rate.
+TEST_F(CallerSessionTest, AReadThatMayHaveRunIsNotGivenBackToTheRate)
+{
+    this->configuration.workspaces["north"].limits = {.ratePerSecond = 0.01, .burst = 2};
+    this->publish();
+    const auto caller = this->startSession();
+    EXPECT_TRUE(this->request(*caller, "QUERY 1 WRITE 1 x").starts_with("COMPLETE signed"));
+    FakeBackend &primary = *this->backends["p"];
+    primary.loseAnswers = 1;
+    for (const auto &[id, backend] : this->backends) {
+        backend->refuse = 1'000;
+    }
+    EXPECT_TRUE(this->request(*caller, "QUERY 2 READ 1").starts_with("ERROR"));
+    std::size_t ran = 0;
+    for (const auto &[id, backend] : this->backends) {
+        ran += backend->statements().size();
+    }
+    EXPECT_EQ(ran, 2U);
+    EXPECT_LT(this->rates->limiter().tokens("north", core::Clock::now()), 1);
+}
+
 // Guards against a caller that sends an endless line: it must neither exhaust the memory nor affect the connections of
 // other callers.
 TEST_F(CallerSessionTest, EndlessLineClosesOnlyItsConnection)
