Do not let a partial sum of a data centre replace the whole one

Cause: found in the read-through. A delegate that stops kept sending the sum of its data centre, although its daemons report to the next one by then, and while daemons turn from one aggregator to another both send sums of parts. The last one that arrived counted, so the demand of a data centre was left out at times, and rates were divided by too little. Change: a stopping daemon aggregates no more, and a sum does not replace a larger one of a different daemon within a second. Result: ReportExchange.APartialSumDoesNotReplaceTheWholeOne fails before the change and passes with it.

--- a/gateway/gatewayreports.cpp
+++ b/gateway/gatewayreports.cpp
@@ -122,7 +122,9 @@
 {
     std::vector<const PeerDaemon *> usable;
     for (const auto &[id, daemon] : this->view->daemons) {
-        if (daemon.dataCentre == dataCentre && !daemon.isSuspect && !this->leavingDaemons.contains(id)) {
+        const bool isLeaving
+            = this->leavingDaemons.contains(id) || (this->leaving && id == this->adapter.deployment.daemonId);
+        if (daemon.dataCentre == dataCentre && !daemon.isSuspect && !isLeaving) {
             usable.push_back(&daemon);
         }
     }
--- a/gateway/reportaggregator.cpp
+++ b/gateway/reportaggregator.cpp
@@ -56,6 +56,12 @@
     }
     std::string key = isSum ? report.dataCentre : report.daemon;
     Reports &reports = isSum ? this->sums : this->local;
+    const auto known = reports.find(key);
+    if (isSum && known != reports.end() && known->second.report.daemon != report.daemon
+        && known->second.report.daemons > report.daemons
+        && now - known->second.receivedAt < this->options.sumPrecedence) {
+        return;
+    }
     reports.insert_or_assign(std::move(key), Received{.report = std::move(report), .receivedAt = now});
 }
 
--- a/gateway/reportaggregator.h
+++ b/gateway/reportaggregator.h
@@ -17,6 +17,9 @@
     std::map<std::string, std::string, std::less<>> regionOfDataCentre;
     /// Daemons whose last report is older are left out of the sum of their data centre.
     core::Milliseconds reportRetention{2'500};
+    /// A sum is kept for this long against a smaller one of a different daemon of its data centre: while the daemons
+    /// there turn to another aggregator, the sums of both are partial.
+    core::Milliseconds sumPrecedence{1'000};
     /// The sum of another data centre without registered daemons is left out of the digest when it is older.
     core::Milliseconds sumRetention{4'000};
 };
--- a/tests/gateway/test_reportexchange.cpp
+++ b/tests/gateway/test_reportexchange.cpp
@@ -437,6 +437,24 @@
     EXPECT_EQ(digest.regions.at("r0").age, 5s);
 }
 
+// Guards against demand that is left out while a data centre changes its aggregator and two daemons send sums of parts.
+TEST(ReportExchange, APartialSumDoesNotReplaceTheWholeOne)
+{
+    ReportAggregator aggregator({.dataCentre = "z0", .regionOfDataCentre = {{"z0", "r0"}, {"z1", "r1"}}});
+    const DaemonReport own{.daemon = "a"};
+    const auto daemonsOfTheOther
+        = [&](core::TimePoint now) { return aggregator.digest(own, {}, now).regions.at("r1").daemons; };
+    aggregator.record({.daemon = "b", .dataCentre = "z1", .daemons = 12}, Start);
+    aggregator.record({.daemon = "c", .dataCentre = "z1", .daemons = 3}, Start + 100ms);
+    EXPECT_EQ(daemonsOfTheOther(Start + 100ms), 12U);
+    aggregator.record({.daemon = "b", .dataCentre = "z1", .daemons = 11}, Start + 250ms);
+    EXPECT_EQ(daemonsOfTheOther(Start + 250ms), 11U);
+    aggregator.record({.daemon = "c", .dataCentre = "z1", .daemons = 12}, Start + 350ms);
+    EXPECT_EQ(daemonsOfTheOther(Start + 350ms), 12U);
+    aggregator.record({.daemon = "b", .dataCentre = "z1", .daemons = 1}, Start + 2s);
+    EXPECT_EQ(daemonsOfTheOther(Start + 2s), 1U);
+}
+
 // Guards against a sum that loses the daemons from which a change of the configuration can be pulled.
 TEST(ReportExchange, SumsNameTheDaemonsThatKnowTheNewestRevision)
 {
