Keep the slot of a rolled-back transaction until the server has answered

Cause: the rollback of a transaction whose statement still runs closed the connection as soon as the caller's deadline had passed. The statement was then taken for ended and its slot was given to another one while the server still ran it. Change: the connection closes with the statement's answer.

--- a/daemon/servertransactions.cpp
+++ b/daemon/servertransactions.cpp
@@ -72,12 +72,13 @@
     }
     transaction->busy = false;
     transaction->lastUse = core::Clock::now();
-    if (transaction->isRolledBack) {
+    // The server may still run the statement, which keeps its slot until the answer; the connection closes with it.
+    const bool running = exchange && !exchange->finished;
+    if (transaction->isRolledBack && !running) {
         // The server aborts a transaction whose connection closes.
         transaction->lease.client().close();
     }
     if (failure) {
-        const bool running = exchange && !exchange->finished;
         if (running) {
             exchange->abandoned = true;
         }
--- a/tests/daemon/test_serverhome.cpp
+++ b/tests/daemon/test_serverhome.cpp
@@ -208,4 +208,51 @@
     EXPECT_LT(nextWrite, core::Milliseconds(2'000));
 }
 
+// Guards against a slot that is released while the server still runs the statement of a transaction whose caller gave
+// it up and rolled back: the next statement would exceed the server's slots.
+TEST(ServerHome, RollbackKeepsTheSlotUntilTheServerHasAnswered)
+{
+    const tests::DatabaseGroup group(BasePort, {"--slots", "1", "--statement-ms", "600"});
+    boost::asio::io_context context(1);
+    const auto home = std::make_shared<ServerHome>(
+        context.get_executor(), optionsFor(group), [] { return true; }, [](core::Duration) {});
+    int readCode = -1;
+    const auto readAfterRollback = [&]() -> net::awaitable<void> {
+        co_await waitUntilServing(home);
+        StatementCall beginCall = writeCall(LongDeadline);
+        const StatementAnswer begun = co_await home->transact(TransactionStep::Begin, std::move(beginCall));
+        const std::string transaction(begun.result.as_string());
+        const auto runStatement = [&home, transaction]() -> net::awaitable<void> {
+            StatementCall call = writeCall(4 * ShortDeadline);
+            call.transaction = transaction;
+            co_await home->execute(std::move(call));
+        };
+        boost::asio::co_spawn(context, runStatement, [](std::exception_ptr) {});
+        boost::asio::steady_timer pause(context, ShortDeadline);
+        co_await pause.async_wait(boost::asio::use_awaitable);
+        StatementCall rollbackCall = writeCall(LongDeadline);
+        rollbackCall.transaction = transaction;
+        co_await home->transact(TransactionStep::Rollback, std::move(rollbackCall));
+        // The caller's deadline has passed by then, and the statement has not ended.
+        pause.expires_after(4 * ShortDeadline);
+        co_await pause.async_wait(boost::asio::use_awaitable);
+        readCode = 0;
+        try {
+            StatementCall read = readCall(LongDeadline);
+            co_await home->execute(std::move(read));
+        } catch (const core::Error &error) {
+            readCode = static_cast<int>(error.code);
+        }
+        home->close();
+    };
+    boost::asio::co_spawn(context, readAfterRollback, [&context](std::exception_ptr failure) {
+        context.stop();
+        if (failure) {
+            std::rethrow_exception(failure);
+        }
+    });
+    context.run();
+    EXPECT_EQ(readCode, 0);
+}
+
 }
