Let a home grant the part of a rate for the part of the demand that asks it

While some daemons take the home of a rate pool for lost, two homes grant the whole rate of the region each. Change: where the demand of the region exceeds the rate, a home grants the rate times its part of the requests against the demand of the region in the digest, with a margin of 1.2 for the lag between the averages.

--- a/gateway/gatewaydaemon.h
+++ b/gateway/gatewaydaemon.h
@@ -160,6 +160,7 @@
     failover::PrimaryTracker primaries;
     limits::DemandShares shares;
     limits::Demand demand; ///< Moving average of this daemon's demand, in operations per second by workspace.
+    limits::Demand poolRequests; ///< Moving average of the operations that its rate pools are asked for.
     SentReports sentReports;
     ReportAggregator aggregator;
     AggregatorChoice aggregatorChoice;
--- a/gateway/gatewayreports.cpp
+++ b/gateway/gatewayreports.cpp
@@ -36,6 +36,24 @@
 
 }
 
+namespace {
+
+/// Adds the operations that were counted in an interval of @p seconds to the moving averages @p rates. The first count
+/// of a workspace is not averaged: after a restart all callers come back at once.
+void average(limits::Demand &rates, const std::map<std::string, std::uint64_t, std::less<>> &counted, double seconds)
+{
+    for (const auto &[workspace, count] : counted) {
+        rates.try_emplace(workspace, static_cast<double>(count) / seconds);
+    }
+    for (auto &[workspace, rate] : rates) {
+        const auto found = counted.find(workspace);
+        const double current = found == counted.end() ? 0 : static_cast<double>(found->second) / seconds;
+        rate += DemandWeight * (current - rate);
+    }
+}
+
+}
+
 net::awaitable<void> GatewayDaemon::reportLoop()
 {
     asio::steady_timer timer(this->context);
@@ -47,15 +65,8 @@
         const core::TimePoint now = core::Clock::now();
         const double seconds = std::chrono::duration<double>(now - previous).count();
         previous = now;
-        // The first demand after a start is not averaged: after a restart all callers come back at once.
-        for (const auto &[workspace, count] : taken.demand) {
-            this->demand.try_emplace(workspace, static_cast<double>(count) / seconds);
-        }
-        for (auto &[workspace, rate] : this->demand) {
-            const auto found = taken.demand.find(workspace);
-            const double current = found == taken.demand.end() ? 0 : static_cast<double>(found->second) / seconds;
-            rate += DemandWeight * (current - rate);
-        }
+        average(this->demand, taken.demand, seconds);
+        average(this->poolRequests, taken.poolRequests, seconds);
         this->recordTakenProofs(taken.proofs);
         this->sendReports();
         this->updateShares();
@@ -84,7 +95,12 @@
     for (const auto &[name, workspace] : configuration->workspaces) {
         const double rate = workspace.limits.ratePerSecond;
         next->own.emplace(name, this->shares.share(name, rate, now));
-        next->region.emplace(name, this->shares.groupShare(name, rate, ownRegion, now));
+        double region = this->shares.groupShare(name, rate, ownRegion, now);
+        if (const auto requested = this->poolRequests.find(name); requested != this->poolRequests.end()) {
+            const double regionDemand = this->shares.groupDemand(name, ownRegion, now);
+            region *= limits::poolPart(requested->second, regionDemand, rate * region);
+        }
+        next->region.emplace(name, region);
     }
     this->traffic.publishShares(std::move(next));
 }
--- a/gateway/ratelimiter.cpp
+++ b/gateway/ratelimiter.cpp
@@ -102,6 +102,7 @@
         return {};
     }
     const RateAnswer answer{.isKnown = true, .startAfter = pool->second.book(1, longestWait, now)};
+    ++this->poolRequests[pool->first];
     PoolUse &use = this->poolUse[pool->first];
     ++(answer.startAfter ? use.granted : use.refused);
     return answer;
@@ -180,6 +181,11 @@
     return found == this->currentShares.end() ? 0 : found->second;
 }
 
+std::map<std::string, std::uint64_t, std::less<>> RateLimiter::takePoolRequests()
+{
+    return std::exchange(this->poolRequests, {});
+}
+
 std::map<std::string, std::uint64_t, std::less<>> RateLimiter::takeDemand()
 {
     return std::exchange(this->demand, {});
--- a/gateway/ratelimiter.h
+++ b/gateway/ratelimiter.h
@@ -74,6 +74,9 @@
     /// Books one operation from this daemon's own share, if the operation may start within @p longestWait.
     RateAnswer book(std::string_view workspace, core::Duration longestWait, core::TimePoint now);
 
+    /// Operations that the pools of this daemon were asked for since the last call, by workspace.
+    std::map<std::string, std::uint64_t, std::less<>> takePoolRequests();
+
     /// Gives back an admitted operation that no server ran. For a pooled workspace, at most one returned operation is
     /// kept.
     void returnOperation(std::string_view workspace);
@@ -99,6 +102,7 @@
     Buckets buckets;
     Buckets pools; ///< Regional pools by workspace; used if this daemon is the home of the pool.
     std::map<std::string, PoolUse, std::less<>> poolUse;
+    std::map<std::string, std::uint64_t, std::less<>> poolRequests;
     RateShares currentShares;
     std::set<std::string, std::less<>> awaitingShare; ///< Configured workspaces whose share is not known yet.
     std::map<std::string, std::uint64_t, std::less<>> demand;
--- a/gateway/trafficcore.cpp
+++ b/gateway/trafficcore.cpp
@@ -208,7 +208,10 @@
 net::awaitable<TrafficReport> TrafficCore::takeReport()
 {
     const auto take = [this]() -> net::awaitable<TrafficReport> {
-        co_return TrafficReport{.demand = this->rates.limiter().takeDemand(), .proofs = this->router.takeProofs()};
+        RateLimiter &limiter = this->rates.limiter();
+        co_return TrafficReport{.demand = limiter.takeDemand(),
+                                .poolRequests = limiter.takePoolRequests(),
+                                .proofs = this->router.takeProofs()};
     };
     co_return co_await asio::co_spawn(this->context, take, asio::use_awaitable);
 }
--- a/gateway/trafficcore.h
+++ b/gateway/trafficcore.h
@@ -28,6 +28,8 @@
 {
     /// Demand since the last report, in operations by workspace.
     std::map<std::string, std::uint64_t, std::less<>> demand;
+    /// Operations that the rate pools of this daemon were asked for since the last report, by workspace.
+    std::map<std::string, std::uint64_t, std::less<>> poolRequests;
     /// Newest proofs taken by this daemon since the last report, by service.
     std::map<std::string, TakenProof, std::less<>> proofs;
 };
--- a/limits/demandshares.cpp
+++ b/limits/demandshares.cpp
@@ -14,6 +14,16 @@
 
 }
 
+double poolPart(double requested, double demand, double ratePerSecond)
+{
+    // The averages of the requests and of the demand lag behind each other by a report interval or two.
+    constexpr double Margin = 1.2;
+    if (demand <= ratePerSecond) {
+        return 1;
+    }
+    return std::min(1.0, Margin * requested / demand);
+}
+
 DemandShares::DemandShares(std::string self, core::TimePoint startedAt, DemandSharesOptions options)
     : self(std::move(self))
     , startedAt(startedAt)
@@ -124,25 +134,36 @@
     if (!this->isStartupOver(now)) {
         return this->options.initialShare;
     }
-    double wanted = demandFor(this->own, workspace);
     std::size_t daemons = 1;
+    for (const auto &[reporter, report] : this->reports) {
+        daemons += reporters.contains(reporter) && this->holdsShare(reporter, report, now) ? report.daemons : 0;
+    }
+    for (const auto &[reporter, count] : this->unreported) {
+        daemons += reporters.contains(reporter) ? count : 0;
+    }
+    return this->shareFor(this->groupDemand(workspace, reporters, now),
+                          this->totalDemand(workspace, now),
+                          ratePerSecond,
+                          static_cast<double>(daemons),
+                          static_cast<double>(this->holders(now)));
+}
+
+double DemandShares::groupDemand(std::string_view workspace,
+                                 const std::set<std::string, std::less<>> &reporters,
+                                 core::TimePoint now) const
+{
+    double wanted = demandFor(this->own, workspace);
     for (const auto &[reporter, report] : this->reports) {
         if (reporters.contains(reporter) && this->holdsShare(reporter, report, now)) {
             wanted += demandFor(report.demand, workspace);
-            daemons += report.daemons;
         }
     }
     for (const auto &[reporter, count] : this->unreported) {
         if (reporters.contains(reporter)) {
             wanted += demandFor(this->own, workspace) * static_cast<double>(count);
-            daemons += count;
         }
     }
-    return this->shareFor(wanted,
-                          this->totalDemand(workspace, now),
-                          ratePerSecond,
-                          static_cast<double>(daemons),
-                          static_cast<double>(this->holders(now)));
+    return wanted;
 }
 
 double DemandShares::totalDemand(std::string_view workspace, core::TimePoint now) const
--- a/limits/demandshares.h
+++ b/limits/demandshares.h
@@ -32,6 +32,12 @@
     double initialShare = 0.125;
 };
 
+/// Part, from 0 to 1, of a group's rate that the home of the group's pool may grant. @p requested is the demand that
+/// asks this home and @p demand that of the whole group, in operations per second. While some daemons take another
+/// daemon for the home, each of the two homes gets a part of the requests, and their rates together stay at @p
+/// ratePerSecond.
+double poolPart(double requested, double demand, double ratePerSecond);
+
 /// Divides the rate of each workspace among the daemons by their demand. Does no I/O and reads no clock.
 ///
 /// Every daemon computes its own share from the reported demand of all daemons. If the total demand is below the rate,
@@ -69,6 +75,11 @@
                       const std::set<std::string, std::less<>> &reporters,
                       core::TimePoint now) const;
 
+    /// Demand for @p workspace of this daemon and of the daemons for which @p reporters report.
+    double groupDemand(std::string_view workspace,
+                       const std::set<std::string, std::less<>> &reporters,
+                       core::TimePoint now) const;
+
     /// Number of daemons that have a share, including this daemon.
     std::size_t holders(core::TimePoint now) const;
 
--- a/tests/limits/test_demandshares.cpp
+++ b/tests/limits/test_demandshares.cpp
@@ -122,4 +122,19 @@
     EXPECT_EQ(shares.holders(Start + 2s), 4U);
 }
 
+// Guards against two homes of one rate pool that each grant the whole rate, while some daemons take the first one for
+// lost and ask the other.
+TEST(DemandShares, HomesThatServePartsOfTheDemandGrantPartsOfTheRate)
+{
+    constexpr double Rate = 94;
+    constexpr double RegionDemand = 200;
+    EXPECT_DOUBLE_EQ(poolPart(RegionDemand, RegionDemand, Rate), 1);
+    const double first = poolPart(0.7 * RegionDemand, RegionDemand, Rate);
+    const double second = poolPart(0.3 * RegionDemand, RegionDemand, Rate);
+    EXPECT_LE(first + second, 1.2 + 1e-9);
+    EXPECT_LT(second, 0.5);
+    // Below the rate nothing is held back, whatever the averages say.
+    EXPECT_DOUBLE_EQ(poolPart(10, 90, Rate), 1);
+}
+
 }
