--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -169,5 +169,9 @@
     async def query(self, request, text):
         return await self.exchange(f"QUERY {request} {text}")
 
+    def has_unasked_message(self):
+        """True if something has arrived while no request is outstanding."""
+        return len(self.reader._buffer) > 0  # pylint: disable=protected-access
+
     def close(self):
         self.writer.close()
--- a/review/standins/platformstandin.py
+++ b/review/standins/platformstandin.py
@@ -203,7 +203,7 @@
             if self.connections > self.group.max_conns:
                 writer.write(b"ERROR TOOMANY\r\n")
                 return
-            first = (await reader.readuntil(b"\r\n")).decode().rstrip("\r\n").split(" ")
+            first = (await reader.readuntil(b"\r\n")).decode("latin-1").rstrip("\r\n").split(" ")
             if first[0] != "START" or first[1] != self.group.service or (len(first) > 3 and first[3] != self.name):
                 writer.write(b"ERROR WRONGNODE " + self.name.encode() + b"\r\n")
                 return
@@ -211,7 +211,7 @@
             await asyncio.sleep(self.group.handshake)
             writer.write(f"READY I {self.position()}\r\n".encode())
             while True:
-                line = (await reader.readuntil(b"\r\n")).decode().rstrip("\r\n")
+                line = (await reader.readuntil(b"\r\n")).decode("latin-1").rstrip("\r\n")
                 if line == "TERMINATE":
                     return
                 _, request, text = line.split(" ", 2)
@@ -219,7 +219,7 @@
                 if self.group.loses_answer(self, request, text):
                     self.group.record.line(f"{self.name} lost-answer {request} {text}")
                     continue
-                writer.write(answer.encode())
+                writer.write(answer.encode("latin-1"))
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
@@ -280,6 +280,8 @@
             return f"ERROR READONLY {self.name}\r\n", False
         if word == "COMMIT":
             await self.group.work(self)
+            if session["writes"] and (not self.leads or session["term"] != self.group.term):
+                return f"ERROR READONLY {self.name}\r\n", False
             self.group.record.line(f"{self.name} runs {request} {text}")
             self.group.commit(self, session["writes"], request)
             session.update(state="I", writes=[])
@@ -293,6 +295,8 @@
         if word == "WRITE" and not self.leads:
             return f"ERROR READONLY {self.name}\r\n", False
         await self.group.work(self)
+        if not self.leads and (word == "WRITE" or (session["state"] == "T" and not session["read_only"])):
+            return f"ERROR READONLY {self.name}\r\n", False
         self.group.record.line(f"{self.name} runs {request} {text}")
         if word == "WRITE":
             if session["state"] == "T":
@@ -318,7 +322,7 @@
         self.servers = [Server(self, f"i-{index:x}c0ffee{index:x}", zone, f"{LOOPBACK}{first_host + index}", port)
                         for index, zone in enumerate(zones)]
         self.primary = self.servers[0]
-        self.loses_answer = lambda server, request, text: False
+        self.loses_answer = lambda server, request, text: False  # Called after each statement.
         self.fences = {}
 
     async def work(self, server):
