Show that a write whose error is not UTF-8 takes effect twice

Cause: a result of another daemon that cannot be parsed as JSON counts as not run, and the write is sent again.

--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -145,9 +145,9 @@
     async def exchange(self, line, limit=12.0):
         answer = {"rows": [], "signature": "", "code": "", "state": "", "position": "-"}
         try:
-            self.writer.write(line.encode() + b"\r\n")
+            self.writer.write(line.encode("latin-1") + b"\r\n")
             while True:
-                text = (await asyncio.wait_for(self.reader.readuntil(b"\r\n"), limit)).decode().rstrip("\r\n")
+                text = (await asyncio.wait_for(self.reader.readuntil(b"\r\n"), limit)).decode("latin-1").rstrip("\r\n")
                 word, _, rest = text.partition(" ")
                 if word == "DATAROW":
                     answer["rows"].append(rest)
--- a/review/standins/platformstandin.py
+++ b/review/standins/platformstandin.py
@@ -216,6 +216,7 @@
                     return
                 _, request, text = line.split(" ", 2)
                 answer = await self.answer(session, request, text)
+                answer = self.group.changes_answer(self, request, text, answer)
                 if self.group.loses_answer(self, request, text):
                     self.group.record.line(f"{self.name} lost-answer {request} {text}")
                     continue
@@ -323,6 +324,7 @@
                         for index, zone in enumerate(zones)]
         self.primary = self.servers[0]
         self.loses_answer = lambda server, request, text: False  # Called after each statement.
+        self.changes_answer = lambda server, request, text, answer: answer
         self.fences = {}
 
     async def work(self, server):
