--- a/review/5/case.py
+++ b/review/5/case.py
@@ -6,7 +6,8 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins"))
 
-from fleet import PLACES, SERVICE, STORE_HOST, SERVER_HOST, Caller, Fleet, configuration, free_ports  # noqa: E402
+from fleet import (PLACES, SERVICE, STORE_HOST, SERVER_HOST, Caller, Fleet, configuration, free_ports,  # noqa: E402
+                   run_case)
 from platformstandin import Database, Record, Store, serve_http  # noqa: E402
 
 HERE = os.path.dirname(os.path.abspath(__file__))
@@ -92,4 +93,4 @@
         record.close()
 
 
-sys.exit(asyncio.run(main()))
+sys.exit(run_case(main))
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -7,6 +7,7 @@
 import socket
 import subprocess
 import tempfile
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 DAEMON = os.path.join(ROOT, "target", "bin", "endiveshored")
@@ -18,6 +19,15 @@
 SERVICE = "ledger"
 
 
+def run_case(main):
+    """Exit code of a case: that of `main`, or 2 if the case could not run."""
+    try:
+        return asyncio.run(main())
+    except (Exception, KeyboardInterrupt):  # pylint: disable=broad-except
+        traceback.print_exc()
+        return 2
+
+
 def free_ports():
     """First port of a free range of 20 ports, the same on all loopback addresses used."""
     for first in range(23000, 32000, 20):
