End a transaction whose key was withdrawn

Callers saw: a caller whose key had been withdrawn while its transaction was open went on writing and committed; after a rest behind BEGIN it did all of its work with the withdrawn key. The next operation was refused with UNAUTH.

Cause: CallerSession looked up the key in admit() only. Statements and the commit of a transaction used the workspace that BEGIN had stored together with the route. The route may be kept (it changes from the next transaction onward), the key may not.

Change: answer(), which statements of every kind pass, checks the key against the configuration in force. In a transaction the key must belong to the workspace for which it began; else the transaction is rolled back on its server at once and the caller gets UNAUTH, or ABORTED if another attempt would be served. This works because no statement reaches a server by another way, and the check comes after the last wait for the caller. Same cause: SET, PREPARE and DEALLOC outside a transaction, and operations that wait for their rate.

--- a/gateway/callersession.cpp
+++ b/gateway/callersession.cpp
@@ -77,7 +77,7 @@
         open = co_await this->write(std::move(text));
         this->busy = false;
     }
-    co_await this->endTransaction();
+    this->endTransaction();
     this->close();
 }
 
@@ -135,6 +135,33 @@
     }
 }
 
+std::optional<std::string_view> CallerSession::workspaceOn(const Route &route) const
+{
+    const auto &workspaces = this->context->view->configuration->workspaceByKey;
+    const auto found = workspaces.find(this->key);
+    if (found != workspaces.end()) {
+        return found->second;
+    }
+    return route.isOpen ? std::optional(OpenWorkspace) : std::nullopt;
+}
+
+std::optional<CallerError> CallerSession::accessError() const
+{
+    const Route *const route
+        = this->transaction ? &this->transaction->context.route : this->context->view->route(this->database);
+    if (route == nullptr) {
+        return CallerError::UnknownDatabase;
+    }
+    const std::optional<std::string_view> workspace = this->workspaceOn(*route);
+    if (!workspace) {
+        return CallerError::UnknownKey;
+    }
+    if (this->transaction && *workspace != this->transaction->context.workspace) {
+        return CallerError::Aborted;
+    }
+    return std::nullopt;
+}
+
 std::optional<CallerError> CallerSession::checkAccess(OperationContext &access) const
 {
     const GatewayView &view = *this->context->view;
@@ -142,13 +169,12 @@
     if (route == nullptr) {
         return CallerError::UnknownDatabase;
     }
-    const auto workspace = view.configuration->workspaceByKey.find(this->key);
-    const bool known = workspace != view.configuration->workspaceByKey.end();
-    if (!known && !route->isOpen) {
+    const std::optional<std::string_view> workspace = this->workspaceOn(*route);
+    if (!workspace) {
         return CallerError::UnknownKey;
     }
     access.database = this->database;
-    access.workspace = known ? workspace->second : std::string(OpenWorkspace);
+    access.workspace = *workspace;
     access.route = *route;
     access.transactionIdleTimeout = view.configuration->transactionIdleTimeout;
     return std::nullopt;
@@ -184,9 +210,16 @@
 net::awaitable<CallerReply> CallerSession::answer(Statement statement)
 {
     const bool ends = statement.kind == StatementKind::Commit || statement.kind == StatementKind::Rollback;
-    if (this->transaction && this->transaction->failed && !ends) {
+    const bool failed = this->transaction && this->transaction->failed;
+    if (failed && !ends) {
         co_return this->errorReply(CallerError::Malformed);
     }
+    // Statements of every kind pass here, so none runs for a key that was withdrawn since the session or its
+    // transaction began. Ending a transaction without a commit needs no access.
+    const bool needsAccess = !failed && statement.kind != StatementKind::Rollback;
+    if (const std::optional<CallerError> error = needsAccess ? this->accessError() : std::nullopt) {
+        co_return this->deny(*error, statement.kind);
+    }
     const Handler handler = handlerOf(statement.kind);
     co_return co_await (this->*handler)(std::move(statement));
 }
@@ -197,12 +230,25 @@
     if (refused) {
         co_return refused;
     }
-    if (!this->context->view->configuration->workspaces.contains(operation.workspace)) {
+    const std::shared_ptr<const Configuration> checked = this->context->view->configuration;
+    if (!checked->workspaces.contains(operation.workspace)) {
         co_return std::nullopt;
     }
+    const std::string charged = operation.workspace;
     const core::TimePoint waitUntil = this->receivedAt + longestRateWait(operation.route.latencyObjective);
-    const bool admitted = co_await this->context->rates->acquire(operation.workspace, waitUntil);
-    co_return admitted ? std::nullopt : std::optional(CallerError::OverRate);
+    if (!co_await this->context->rates->acquire(charged, waitUntil)) {
+        co_return CallerError::OverRate;
+    }
+    if (this->context->view->configuration == checked) {
+        co_return std::nullopt;
+    }
+    // The key may have been withdrawn, or moved to another workspace, during the wait.
+    const std::optional<CallerError> withdrawn = this->checkAccess(operation);
+    if (!withdrawn && operation.workspace == charged) {
+        co_return std::nullopt;
+    }
+    this->context->rates->returnOperation(charged);
+    co_return withdrawn.value_or(CallerError::Overloaded);
 }
 
 void CallerSession::returnUnusedRate(const std::string &workspace, const StatementOutcome &outcome)
--- a/gateway/callersession.h
+++ b/gateway/callersession.h
@@ -81,10 +81,19 @@
     net::awaitable<CallerReply> runSingle(pooling::WorkUnit unit, bool writes);
     net::awaitable<CallerReply> runInTransaction(pooling::WorkUnit unit);
     net::awaitable<std::optional<CallerError>> admit(OperationContext &context);
-    net::awaitable<void> endTransaction();
+    /// Refuses a statement with @p error. An open transaction fails, or ends if @p statement was to commit it.
+    CallerReply deny(CallerError error, pooling::StatementKind statement);
+    /// Rolls back the open transaction on its server, if it has reached one, without waiting for the server.
+    void rollBackOnServer();
+    void endTransaction();
     /// Gives an admitted operation back to the rate of @p workspace if no server ran the operation.
     void returnUnusedRate(const std::string &workspace, const StatementOutcome &outcome);
     std::optional<CallerError> checkAccess(OperationContext &context) const;
+    /// Error with which the configuration in force refuses further work of the session. A transaction keeps the route
+    /// with which it began, but not the key: a key that was withdrawn, or now belongs to another workspace, ends it.
+    std::optional<CallerError> accessError() const;
+    /// Workspace of the session's key, or that of callers without a known key if @p route is open to them.
+    std::optional<std::string_view> workspaceOn(const Route &route) const;
     pooling::WorkUnit transactionUnit(pooling::UnitKind kind, std::string id) const;
     CallerReply reply(const pooling::UnitResult &result, bool writes);
     CallerReply errorReply(CallerError error) const;
--- a/gateway/callertransactions.cpp
+++ b/gateway/callertransactions.cpp
@@ -96,7 +96,7 @@
         co_return this->errorReply(CallerError::Malformed);
     }
     if (this->transaction->failed || this->transaction->aborted) {
-        co_await this->endTransaction();
+        this->endTransaction();
         co_return this->errorReply(CallerError::Aborted);
     }
     if (this->transaction->lease.empty()) {
@@ -140,30 +140,40 @@
 
 net::awaitable<CallerReply> CallerSession::rollback(Statement)
 {
-    co_await this->endTransaction();
+    this->endTransaction();
     co_return this->proxyReply();
 }
 
-net::awaitable<void> CallerSession::endTransaction()
+CallerReply CallerSession::deny(CallerError error, StatementKind statement)
 {
-    if (!this->transaction) {
-        co_return;
-    }
-    if (!this->transaction->lease.empty()) {
-        WorkUnit unit = this->transactionUnit(UnitKind::Rollback, {});
-        unit.queueTimeout = RollbackTimeout;
-        unit.statementTimeout = RollbackTimeout;
-        UnitPlace place = this->transaction->place;
-        // The caller does not wait for the rollback: the home closes the server connection if the rollback takes too
-        // long.
-        auto finish = [context = this->context,
-                       place = std::move(place),
-                       unit = std::move(unit)]() mutable -> net::awaitable<void> {
-            co_await context->runner->continueTransaction(std::move(place), std::move(unit));
-        };
-        asio::co_spawn(this->context->executor, std::move(finish), asio::detached);
+    if (statement == StatementKind::Commit) {
+        this->endTransaction();
+    } else if (this->transaction) {
+        this->rollBackOnServer();
+        this->transaction->failed = true;
     }
+    return this->errorReply(error);
+}
+
+void CallerSession::endTransaction()
+{
+    this->rollBackOnServer();
     this->transaction.reset();
 }
 
+void CallerSession::rollBackOnServer()
+{
+    if (!this->transaction || this->transaction->lease.empty()) {
+        return;
+    }
+    WorkUnit unit = this->transactionUnit(UnitKind::Rollback, {});
+    unit.queueTimeout = RollbackTimeout;
+    unit.statementTimeout = RollbackTimeout;
+    this->transaction->lease.clear();
+    // The caller does not wait for the rollback: the home closes the server connection if the rollback takes too long.
+    auto finish = [context = this->context, place = this->transaction->place, unit = std::move(unit)]() mutable
+        -> net::awaitable<void> { co_await context->runner->continueTransaction(std::move(place), std::move(unit)); };
+    asio::co_spawn(this->context->executor, std::move(finish), asio::detached);
+}
+
 }
--- a/tests/soak/configurationsoak.cpp
+++ b/tests/soak/configurationsoak.cpp
@@ -39,6 +39,7 @@
     , startedAt(std::chrono::steady_clock::now())
     , random(options.seed)
     , incarnations(options.daemons)
+    , sessions(options.daemons)
     , busyUntil(options.daemons)
 {
 }
@@ -157,7 +158,12 @@
         return;
     }
     add(sent, started.succeeded());
-    // The open session must lose its access as soon as a version without its route is in force.
+    // Every second session stays in one transaction. It keeps its route, but not a key that is withdrawn meanwhile.
+    const bool inTransaction = ++this->sessions[daemon] % 2 == 0;
+    if (started.succeeded() && inTransaction && !caller.query("begin", "BEGIN").succeeded()) {
+        return;
+    }
+    // The open session must lose its access as soon as a version without its route and key is in force.
     while (started.succeeded() && !this->ended) {
         std::this_thread::sleep_for(ProbeInterval);
         sent = this->now();
--- a/tests/soak/configurationsoak.h
+++ b/tests/soak/configurationsoak.h
@@ -58,6 +58,7 @@
     std::mt19937_64 random;
     std::multimap<Moment, std::function<void()>> actions;
     std::vector<std::atomic<unsigned>> incarnations;
+    std::vector<unsigned> sessions; ///< Sessions started so far by daemon, each counted by its own caller thread.
     std::vector<Moment> busyUntil; ///< Until then the daemon is down or suspended and gets no other fault.
     std::atomic<std::uint64_t> newest = 1; ///< The fleet starts with version 1.
     std::atomic<bool> ended = false;
