Do not continue transactions of a home that was suspended

Callers saw nothing, but servers did: a daemon that had been suspended for longer than its lease went on with the open transactions of its homes for up to 1.2 s after it was resumed, while its successor used all slots of the server.

Cause: requireHome() guards single statements only. Statements and commits of transactions were allowed until the former home was retired, which is right after an orderly change of home, as the successor waits for them, and wrong after a suspension, as the successor has waited already.

Change: a home knows the epoch in which it was taken. Once the epoch or the lease has passed, statements and commits of its transactions are refused with TransactionAborted, not run, their connections are closed, and the home is retired at once. A home of an earlier epoch is never taken for one of the present epoch.

Evidence: ServerHome.TransactionEndsWithTheLease failed before (the second statement and the commit ran) and passes now; test_daemon 29 of 29. This is a way in which HomeFaultTest.PausedHomeDoesNotUseSlotsAfterItsLease can fail; that it was the one that failed is not shown.

--- a/daemon/homeregistry.cpp
+++ b/daemon/homeregistry.cpp
@@ -43,13 +43,15 @@
     this->view = std::move(newView);
     std::erase_if(this->owned, [this](const auto &item) {
         const auto home = this->view->homes.find(item.first);
-        if (home != this->view->homes.end() && home->second.own && home->second.actsFrom
-            && this->view->servers.contains(item.first)) {
+        const bool isKnown = home != this->view->homes.end() && this->view->servers.contains(item.first);
+        const bool isOwn = isKnown && home->second.own && home->second.actsFrom;
+        if (isOwn && item.second->homeEpoch() == this->view->homeEpoch) {
             return false;
         }
-        this->decisionSink(item.first,
-                           "release_home",
-                           home == this->view->homes.end() ? "server removed" : "another daemon is the home");
+        const std::string_view reason = !isKnown ? "server removed"
+            : isOwn                              ? "this daemon was suspended"
+                                                 : "another daemon is the home";
+        this->decisionSink(item.first, "release_home", reason);
         this->retiring.push_back(item.second);
         asio::co_spawn(this->executor, this->retire(item.first, item.second), asio::detached);
         return true;
@@ -66,6 +68,8 @@
         homeOptions.memberId = this->memberId;
         homeOptions.serverKey = key;
         homeOptions.server = server->second;
+        homeOptions.homeEpoch = this->view->homeEpoch;
+        homeOptions.holdsLease = [this, epoch = this->view->homeEpoch] { return this->homeCheck(epoch); };
         const auto check = [this, key = key] { return this->isHome(key); };
         this->owned.emplace(key, std::make_shared<ServerHome>(this->executor, homeOptions, check, this->observer));
         this->decisionSink(
@@ -80,7 +84,7 @@
 {
     const core::TimePoint end = core::Clock::now() + RetireTimeout;
     asio::steady_timer timer(this->executor);
-    while (home->activeOperations() > 0 && core::Clock::now() < end) {
+    while (home->holdsLease() && home->activeOperations() > 0 && core::Clock::now() < end) {
         timer.expires_after(RetirePollInterval);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
--- a/daemon/serverhome.cpp
+++ b/daemon/serverhome.cpp
@@ -117,6 +117,16 @@
     return this->transactions.contains(transaction);
 }
 
+bool ServerHome::holdsLease() const
+{
+    return this->options.holdsLease();
+}
+
+std::uint64_t ServerHome::homeEpoch() const
+{
+    return this->options.homeEpoch;
+}
+
 std::size_t ServerHome::activeOperations() const
 {
     return this->running + this->transactions.size();
@@ -332,6 +342,18 @@
     }
 }
 
+void ServerHome::requireLease(Transaction &transaction, SlotQueue::Slot &slot) const
+{
+    if (this->holdsLease()) {
+        return;
+    }
+    slot.releaseUnused();
+    // The server aborts a transaction whose connection closes.
+    transaction.lease.client().close();
+    throw core::Error(core::ResultCode::TransactionAborted,
+                      "the daemon of the transaction was suspended and is no longer the home of the server");
+}
+
 void ServerHome::requireHome() const
 {
     if (this->closed || !this->isHome()) {
--- a/daemon/serverhome.h
+++ b/daemon/serverhome.h
@@ -20,6 +20,10 @@
     std::string memberId; ///< Id of this daemon; prefix of transaction ids.
     std::string serverKey;
     ServerView server;
+    std::uint64_t homeEpoch = 0; ///< Epoch of the daemon's homes in which this home was taken.
+    /// Returns false once the daemon was suspended for longer than its lease. Another daemon may use all slots of the
+    /// server from then on, so that open transactions must not go on. After an orderly change of home they may.
+    std::function<bool()> holdsLease = [] { return true; };
 };
 
 /// Queue, slots, connections and open transactions of one backend server, held by the server's home daemon. Runs on one
@@ -44,6 +48,11 @@
     /// True if @p transaction is open at this home.
     bool holdsTransaction(const std::string &transaction) const;
 
+    /// False once the daemon was suspended for longer than its lease: the work of this home must end at once.
+    bool holdsLease() const;
+
+    std::uint64_t homeEpoch() const;
+
     /// Number of running or waiting calls and open transactions; zero once drained.
     std::size_t activeOperations() const;
 
@@ -90,6 +99,8 @@
     std::shared_ptr<ReplicationTracker> trackerFor(std::uint64_t term);
     void requireHome() const;
     void requireHomeOrRelease(SlotQueue::Slot &slot) const;
+    /// Closes the connection of @p transaction and throws core::Error(TransactionAborted) unless the lease is held.
+    void requireLease(Transaction &transaction, SlotQueue::Slot &slot) const;
 
     net::Executor executor;
     ServerHomeOptions options;
--- a/daemon/servertransactions.cpp
+++ b/daemon/servertransactions.cpp
@@ -57,6 +57,7 @@
     try {
         SlotQueue::Slot slot = co_await this->slotQueue.acquire(
             call.workspace, queueing::Priority::TransactionInProgress, call.deadline - StatementStartMargin);
+        this->requireLease(*transaction, slot);
         exchange = std::make_shared<Exchange>(this->shared_from_this(), std::move(slot));
         exchange->transaction = transaction;
         backend::StatementCall &request = exchange->request;
@@ -133,6 +134,7 @@
     ConnectionCloser closer(transaction->lease.client());
     SlotQueue::Slot slot = co_await this->slotQueue.acquire(
         call.workspace, queueing::Priority::TransactionInProgress, call.deadline - StatementStartMargin);
+    this->requireLease(*transaction, slot);
     const backend::StatementResult result = co_await transaction->lease.client().commit(
         call.transaction, call.requestId, statementTimeout(call.deadline));
     closer.dismiss();
--- a/tests/daemon/test_serverhome.cpp
+++ b/tests/daemon/test_serverhome.cpp
@@ -255,4 +255,51 @@
     EXPECT_EQ(readCode, 0);
 }
 
+// Guards against a transaction that goes on at a home whose daemon was suspended for longer than its lease: another
+// daemon may use all slots of the server by then.
+TEST(ServerHome, TransactionEndsWithTheLease)
+{
+    for (const bool commits : {false, true}) {
+        const tests::DatabaseGroup group(BasePort, {"--slots", "1"});
+        boost::asio::io_context context(1);
+        bool holdsLease = true;
+        ServerHomeOptions options = optionsFor(group);
+        options.holdsLease = [&holdsLease] { return holdsLease; };
+        const auto home = std::make_shared<ServerHome>(
+            context.get_executor(), std::move(options), [] { return true; }, [](core::Duration) {});
+        int code = 0;
+        std::size_t openAfterwards = 0;
+        const auto continueAfterSuspension = [&]() -> net::awaitable<void> {
+            co_await waitUntilServing(home);
+            StatementCall beginCall = writeCall(LongDeadline);
+            const StatementAnswer begun = co_await home->transact(TransactionStep::Begin, std::move(beginCall));
+            StatementCall first = writeCall(LongDeadline);
+            first.transaction = std::string(begun.result.as_string());
+            StatementCall second = first;
+            co_await home->execute(std::move(first));
+            holdsLease = false;
+            try {
+                if (commits) {
+                    co_await home->transact(TransactionStep::Commit, std::move(second));
+                } else {
+                    co_await home->execute(std::move(second));
+                }
+            } catch (const core::Error &error) {
+                code = static_cast<int>(error.code);
+            }
+            openAfterwards = home->activeOperations();
+            home->close();
+        };
+        boost::asio::co_spawn(context, continueAfterSuspension, [&context](std::exception_ptr failure) {
+            context.stop();
+            if (failure) {
+                std::rethrow_exception(failure);
+            }
+        });
+        context.run();
+        EXPECT_EQ(code, static_cast<int>(core::ResultCode::TransactionAborted)) << commits;
+        EXPECT_EQ(openAfterwards, 0U) << commits;
+    }
+}
+
 }
