--- a/gateway/pooledserver.cpp
+++ b/gateway/pooledserver.cpp
@@ -141,6 +141,10 @@
 
 net::awaitable<std::optional<PooledServer::Slot>> PooledServer::admit(const Unit &unit, UnitNeed need)
 {
+    if (this->closed) {
+        // Nothing ticks a closed pool, so a unit that queued here would wait for good.
+        co_return std::nullopt;
+    }
     const core::TimePoint now = core::Clock::now();
     const core::TimePoint deadline = now + unit.queueTimeout;
     const pooling::TicketId id = ++this->lastTicket;
--- a/tests/gateway/fakebackend.h
+++ b/tests/gateway/fakebackend.h
@@ -35,7 +35,13 @@
     std::chrono::milliseconds work{0};
     std::size_t loseAnswers = 0; ///< Number of caller statements that run but are not answered.
     std::size_t closeAfterAnswers = 0; ///< Number of caller statements after whose answer the connection closes.
+    std::size_t unsignedAnswers = 0; ///< Number of caller statements that are answered without a signature.
+    std::size_t wrongStates = 0; ///< Number of caller statements whose answer reports an impossible state.
+    std::size_t lostRollbacks = 0; ///< Number of rollbacks after whose loss the connection closes.
+    std::vector<std::string> rows = {}; ///< Rows of every answer to a caller statement.
+    std::string failure = {}; ///< Text of the error that answers every caller statement; empty for none.
     std::size_t refuse = 0; ///< Number of connections that fail as unreachable.
+    std::chrono::milliseconds connectTime{0};
     std::size_t open = 0;
     std::size_t mostOpen = 0;
     std::size_t opened = 0;
@@ -71,6 +77,10 @@
 
     net::awaitable<ServerReply> open(LinkTarget, core::Duration) override
     {
+        if (this->backend->connectTime > core::Duration::zero()) {
+            boost::asio::steady_timer connecting(this->executor, this->backend->connectTime);
+            co_await connecting.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+        }
         if (this->backend->refuse > 0) {
             --this->backend->refuse;
             throw core::Error(core::ResultCode::BackendUnreachable, "refused");
@@ -100,6 +110,14 @@
                 co_await this->runStatement();
             }
             ServerReply reply = this->answer(command);
+            if (command.kind == CommandKind::Rollback && this->backend->lostRollbacks > 0) {
+                --this->backend->lostRollbacks;
+                this->close();
+                break;
+            }
+            if (isCaller) {
+                this->distort(reply);
+            }
             if (isCaller && this->backend->loseAnswers > 0) {
                 --this->backend->loseAnswers;
                 boost::asio::steady_timer silence(this->executor, timeout);
@@ -139,6 +157,25 @@
         --this->backend->running;
     }
 
+    /// Changes the answer to a caller's statement as the test asks for.
+    void distort(ServerReply &reply)
+    {
+        if (!this->backend->failure.empty()) {
+            reply.isError = true;
+            reply.error = pooling::UnitError::Failed;
+            reply.errorText = this->backend->failure;
+        }
+        reply.rows = this->backend->rows;
+        if (this->backend->unsignedAnswers > 0) {
+            --this->backend->unsignedAnswers;
+            reply.signature.clear();
+        }
+        if (this->backend->wrongStates > 0) {
+            --this->backend->wrongStates;
+            reply.state = reply.state == ServerState::Idle ? ServerState::InTransaction : ServerState::Idle;
+        }
+    }
+
     ServerReply answer(const ServerCommand &command)
     {
         ServerReply reply{.position = this->backend->position};
--- a/tests/gateway/test_pooledserver.cpp
+++ b/tests/gateway/test_pooledserver.cpp
@@ -302,4 +302,25 @@
     EXPECT_GE(later.proofAge, 50ms);
 }
 
+// Guards against a unit that waits for good: the pool was closed while a connection was being opened for the unit, and
+// the unit queued again in the closed pool, which nothing ticks any more.
+TEST_F(PooledServerTest, ClosedPoolAnswersAUnitThatWasConnecting)
+{
+    this->backend->work = 300ms;
+    this->backend->connectionLimit = 1;
+    this->start("holder", unit(UnitKind::Write, "WRITE 1 x"));
+    this->runUntil([this] { return this->backend->running == 1; });
+    this->backend->connectTime = 50ms;
+    WorkUnit other = unit(UnitKind::Write, "WRITE 2 x");
+    other.workspace = "south";
+    this->start("connecting", std::move(other));
+    this->context.restart();
+    this->context.run_for(20ms);
+    this->pool->close();
+    this->context.restart();
+    this->context.run_for(100ms);
+    ASSERT_TRUE(this->results.contains("connecting"));
+    EXPECT_EQ(this->results.at("connecting").outcome, UnitOutcome::NotRun);
+}
+
 }
