Take an answer of a daemon that cannot be read as in doubt

Callers saw: a write whose server answered in another encoding than UTF-8 was committed twice when its home was another daemon. Cause: WorkRouter took every error with the outcome "not run" for a unit that had not reached the server, also that of decoding the answer, and sent the write to a second daemon.

Change: once the request has left, only the answer itself makes a unit not run: a result with that outcome, or a refusal whose body says so. All else is in doubt for writes and commits, and ConnectionLost for the rest. Statements, rows and errors pass between daemons byte for byte (core::TextBytes::Any); other messages stay UTF-8. The commit of a transaction without statements is in doubt if its answer is lost. Messages that cannot be decoded are logged (work_unreadable, report_unreadable) and counted (endiveshore_unreadable_messages_total).

The decoders of rates, metadata and reports were read: a malformed message fails there as core::Error and is refused.

--- a/core/json.cpp
+++ b/core/json.cpp
@@ -4,10 +4,12 @@
 
 namespace json = boost::json;
 
-boost::leaf::result<json::object> parseJsonObject(std::string_view text)
+boost::leaf::result<json::object> parseJsonObject(std::string_view text, TextBytes bytes)
 {
     json::error_code parseError;
-    json::value value = json::parse(json::string_view(text.data(), text.size()), parseError);
+    json::parse_options options;
+    options.allow_invalid_utf8 = bytes == TextBytes::Any;
+    json::value value = json::parse(json::string_view(text.data(), text.size()), parseError, {}, options);
     if (parseError) {
         return boost::leaf::new_error(
             Failure{.code = ResultCode::MalformedRequest, .message = "invalid JSON: " + parseError.message()});
--- a/core/json.h
+++ b/core/json.h
@@ -11,8 +11,13 @@
 /// Lenient accessors for JSON messages between processes. Documents are validated strictly by the document library.
 namespace endiveshore::core {
 
+enum class TextBytes {
+    Utf8, ///< Strings must be valid UTF-8.
+    Any, ///< Strings may hold any bytes, for texts of callers and servers that are passed on.
+};
+
 /// Parses @p text as a JSON object. Fails with MalformedRequest for any other text.
-boost::leaf::result<boost::json::object> parseJsonObject(std::string_view text);
+boost::leaf::result<boost::json::object> parseJsonObject(std::string_view text, TextBytes bytes = TextBytes::Utf8);
 
 /// Member @p name as text, or @p fallback if it is missing or of another type.
 std::string jsonString(const boost::json::object &object, std::string_view name, std::string_view fallback = {});
--- a/gateway/callertransactions.cpp
+++ b/gateway/callertransactions.cpp
@@ -133,7 +133,10 @@
         = co_await this->context->runner->run(std::move(operation), std::move(unit), open.readOnly);
     this->transaction.reset();
     if (outcome.result.outcome == UnitOutcome::NotRun) {
-        co_return this->errorReply(CallerError::Aborted);
+        // The server may have committed without its answer reaching the caller.
+        const CallerError lost
+            = outcome.result.error == UnitError::NoAnswer ? CallerError::TimedOut : CallerError::InDoubt;
+        co_return this->errorReply(outcome.mayHaveRun ? lost : CallerError::Aborted);
     }
     co_return this->reply(outcome.result, true);
 }
--- a/gateway/gatewayreports.cpp
+++ b/gateway/gatewayreports.cpp
@@ -333,6 +333,7 @@
         }
     } catch (const std::exception &error) {
         // One datagram that cannot be used must not end the process.
+        this->metrics.unreadableMessages(telemetry::Channel::Gossip).add();
         this->log.line("report_unreadable", telemetry::LogLevel::Warning).field("reason", error.what());
     }
 }
--- a/gateway/trafficcore.cpp
+++ b/gateway/trafficcore.cpp
@@ -26,7 +26,11 @@
 
 WorkRouterOptions routerOptions(const TrafficCoreOptions &options, const net::Executor &executor)
 {
-    return {.executor = executor, .deployment = options.deployment, .links = options.links, .log = options.log};
+    return {.executor = executor,
+            .deployment = options.deployment,
+            .links = options.links,
+            .log = options.log,
+            .metrics = options.metrics};
 }
 
 }
@@ -139,6 +143,19 @@
 }
 
 net::awaitable<net::HttpResponse> TrafficCore::servePeer(net::HttpRequest request)
+{
+    try {
+        net::awaitable<net::HttpResponse> served = this->servePath(request);
+        co_return co_await std::move(served);
+    } catch (const core::Error &error) {
+        if (error.code == core::ResultCode::MalformedRequest && this->options.metrics != nullptr) {
+            this->options.metrics->unreadableMessages(telemetry::Channel::Peer).add();
+        }
+        throw;
+    }
+}
+
+net::awaitable<net::HttpResponse> TrafficCore::servePath(const net::HttpRequest &request)
 {
     if (request.target == MetadataPath) {
         co_return net::jsonResponse(StatusOk, this->answerMetadata(request));
@@ -151,7 +168,7 @@
         co_return net::errorResponse(core::ResultCode::UnknownPath, core::Outcome::NotRun, request.target);
     }
     pooling::WorkUnit unit = core::valueOrThrow([&request]() -> boost::leaf::result<pooling::WorkUnit> {
-        BOOST_LEAF_AUTO(body, core::parseJsonObject(request.body));
+        BOOST_LEAF_AUTO(body, core::parseJsonObject(request.body, core::TextBytes::Any));
         return workUnitFromJson(body);
     });
     const pooling::UnitResult result = co_await this->router.runForPeer(std::move(unit));
--- a/gateway/trafficcore.h
+++ b/gateway/trafficcore.h
@@ -79,6 +79,7 @@
     net::awaitable<void> tickLoop();
     net::awaitable<void> logPoolsLoop();
     net::awaitable<net::HttpResponse> servePeer(net::HttpRequest request);
+    net::awaitable<net::HttpResponse> servePath(const net::HttpRequest &request);
     boost::json::object answerMetadata(const net::HttpRequest &request) const;
     void updateRates();
 
--- a/gateway/workrouter.cpp
+++ b/gateway/workrouter.cpp
@@ -41,6 +41,17 @@
 /// connections.
 constexpr std::chrono::seconds OtherIdleTimeout{1};
 
+/// Result of a unit that a daemon was asked to run and that it may have run.
+pooling::UnitResult mayHaveRun(UnitKind kind, std::string reason)
+{
+    // An open transaction is rolled back if its daemon is lost, and a read has no effect. Only a write or a commit may
+    // have taken effect.
+    const bool mayPersist = kind == UnitKind::Write || kind == UnitKind::Commit;
+    return {.outcome = mayPersist ? UnitOutcome::Unknown : UnitOutcome::NotRun,
+            .error = UnitError::ConnectionLost,
+            .errorText = std::move(reason)};
+}
+
 /// True if the result shows that the server is reachable: the server answered, or the unit only failed to get a slot in
 /// time.
 bool isServerAnswer(const pooling::UnitResult &result)
@@ -265,26 +276,18 @@
     const core::Duration timeout = unit.queueTimeout + unit.statementTimeout + TransitTime;
     const core::BootTime sentAt = core::BootClock::now();
     net::HttpRequest request = net::jsonRequest(WorkPath, toJson(unit));
-    pooling::UnitResult result;
+    net::HttpResponse response;
     try {
-        const net::HttpResponse response = co_await this->peers.exchange(endpoint, std::move(request), timeout);
-        result = core::valueOrThrow([&response]() -> boost::leaf::result<pooling::UnitResult> {
-            BOOST_LEAF_AUTO(body, core::parseJsonObject(response.body));
-            return unitResultFromJson(body);
-        });
+        response = co_await this->peers.exchange(endpoint, std::move(request), timeout);
     } catch (const core::Error &error) {
         this->avoidedUntil[{std::string(AllServers), daemon}] = core::Clock::now() + AvoidanceDuration;
         if (error.outcome == core::Outcome::NotRun) {
             co_return pooling::UnitResult{
                 .outcome = UnitOutcome::NotRun, .error = UnitError::Unreachable, .errorText = error.message};
         }
-        // An open transaction is rolled back if its daemon is lost, and a read has no effect. Only a write or a commit
-        // may have taken effect.
-        const bool mayPersist = unit.kind == UnitKind::Write || unit.kind == UnitKind::Commit;
-        co_return pooling::UnitResult{.outcome = mayPersist ? UnitOutcome::Unknown : UnitOutcome::NotRun,
-                                      .error = UnitError::ConnectionLost,
-                                      .errorText = error.message};
+        co_return mayHaveRun(unit.kind, error.message);
     }
+    pooling::UnitResult result = this->readAnswer(unit, daemon, response);
     // The transit time of the response is unknown, so the whole round trip is added to the age.
     if (result.provenPosition) {
         result.proofAge += core::BootClock::now() - sentAt;
@@ -292,6 +295,32 @@
     co_return result;
 }
 
+pooling::UnitResult
+WorkRouter::readAnswer(const pooling::WorkUnit &unit, std::string_view daemon, const net::HttpResponse &response) const
+{
+    try {
+        const boost::json::object body
+            = core::valueOrThrow([&response] { return core::parseJsonObject(response.body, core::TextBytes::Any); });
+        if (core::outcomeFromName(core::jsonString(body, "outcome")) == core::Outcome::NotRun) {
+            return {.outcome = UnitOutcome::NotRun,
+                    .error = UnitError::Unreachable,
+                    .errorText = core::jsonString(body, "message")};
+        }
+        return core::valueOrThrow([&body] { return unitResultFromJson(body); });
+    } catch (const core::Error &error) {
+        if (this->options.metrics != nullptr) {
+            this->options.metrics->unreadableMessages(telemetry::Channel::Peer).add();
+        }
+        if (this->options.log != nullptr) {
+            this->options.log->line("work_unreadable", telemetry::LogLevel::Warning)
+                .field("request", unit.id)
+                .field("daemon", daemon)
+                .field("reason", error.message);
+        }
+        return mayHaveRun(unit.kind, error.message);
+    }
+}
+
 void WorkRouter::tick(core::TimePoint now)
 {
     for (const auto &[server, pool] : this->byServer) {
--- a/gateway/workrouter.h
+++ b/gateway/workrouter.h
@@ -5,6 +5,7 @@
 #include "gateway/gatewayview.h"
 #include "gateway/pooledserver.h"
 #include "net/peerclient.h"
+#include "telemetry/metrics.h"
 
 #include <functional>
 
@@ -16,6 +17,7 @@
     Deployment deployment;
     ServerLinkFactory links;
     telemetry::DecisionLog *log = nullptr;
+    const telemetry::Metrics *metrics = nullptr;
 };
 
 /// Server and daemon that run a unit, or all units of one transaction.
@@ -77,6 +79,10 @@
     std::vector<std::string> homesOf(std::string_view server) const;
     std::vector<std::string> candidates(std::string_view server, core::TimePoint now) const;
     net::awaitable<pooling::UnitResult> runRemotely(pooling::WorkUnit unit, std::string daemon);
+    /// Reads the answer of @p daemon to @p unit. Unless the answer itself says that the unit has not run, the unit may
+    /// have run, also if the answer cannot be read.
+    pooling::UnitResult
+    readAnswer(const pooling::WorkUnit &unit, std::string_view daemon, const net::HttpResponse &response) const;
 
     WorkRouterOptions options;
     net::PeerClient peers;
--- a/telemetry/metricinfo.cpp
+++ b/telemetry/metricinfo.cpp
@@ -64,6 +64,11 @@
                "endiveshore_channel_bytes_total",
                "Bytes carried, by channel and direction.",
                "channel,direction"},
+    MetricInfo{MetricId::UnreadableMessages,
+               MetricType::Counter,
+               "endiveshore_unreadable_messages_total",
+               "Messages of other daemons that could not be decoded, by channel.",
+               "channel"},
     MetricInfo{
         MetricId::Members, MetricType::Gauge, "endiveshore_members", "Known daemons, by membership state.", "state"},
 };
--- a/telemetry/metricinfo.h
+++ b/telemetry/metricinfo.h
@@ -18,6 +18,7 @@
     ConfigurationRevision,
     ControlCpu,
     ChannelBytes,
+    UnreadableMessages,
     Members,
 };
 
--- a/telemetry/metrics.cpp
+++ b/telemetry/metrics.cpp
@@ -119,6 +119,11 @@
                                        {"direction", std::string(DirectionNames[direction])}});
             }
         }
+        auto &unreadableFamily = registerFamily(prometheus::BuildCounter(), MetricId::UnreadableMessages, target);
+        for (const Channel channel : {Channel::Peer, Channel::Gossip}) {
+            const std::size_t index = static_cast<std::size_t>(channel);
+            this->unreadableMessages[index] = &unreadableFamily.Add({{"channel", std::string(ChannelNames[index])}});
+        }
         auto &memberFamily = registerFamily(prometheus::BuildGauge(), MetricId::Members, target);
         for (std::size_t index = 0; index < MemberStateNames.size(); ++index) {
             this->members[index] = &memberFamily.Add({{"state", std::string(MemberStateNames[index])}});
@@ -145,6 +150,7 @@
     std::array<prometheus::Counter *, Outcomes.size()> statements{};
     std::map<core::ResultCode, prometheus::Counter *> refusals; ///< Never changes after construction.
     std::array<std::array<prometheus::Counter *, DirectionNames.size()>, ChannelNames.size()> channelBytes{};
+    std::array<prometheus::Counter *, ChannelNames.size()> unreadableMessages{}; ///< Null for other channels.
     std::array<prometheus::Gauge *, MemberStateNames.size()> members{};
     prometheus::Gauge *revision = nullptr;
     prometheus::Counter *controlCpu = nullptr;
@@ -298,6 +304,11 @@
         *this->impl->channelBytes[static_cast<std::size_t>(channel)][static_cast<std::size_t>(direction)]);
 }
 
+CounterHandle Metrics::unreadableMessages(Channel channel) const
+{
+    return CounterHandle(*this->impl->unreadableMessages.at(static_cast<std::size_t>(channel)));
+}
+
 GaugeHandle Metrics::members(MemberState state) const
 {
     return GaugeHandle(*this->impl->members[static_cast<std::size_t>(state)]);
--- a/telemetry/metrics.h
+++ b/telemetry/metrics.h
@@ -110,6 +110,8 @@
     GaugeHandle configurationRevision() const;
     CounterHandle controlCpu() const;
     CounterHandle channelBytes(Channel channel, Direction direction) const;
+    /// Messages of other daemons that could not be decoded. @p channel is Peer or Gossip.
+    CounterHandle unreadableMessages(Channel channel) const;
     GaugeHandle members(MemberState state) const;
 
     /// Removes the gauges of @p server, for example when another daemon becomes the home of the server. Handles to the
--- a/tests/gateway/test_callersession.cpp
+++ b/tests/gateway/test_callersession.cpp
@@ -452,6 +452,17 @@
     EXPECT_LT(this->rates->limiter().tokens("north", core::Clock::now()), 1);
 }
 
+// Guards against a promise that nothing was kept for a commit whose answer was lost, also if the transaction had no
+// statements.
+TEST_F(CallerSessionTest, LostAnswerToACommitWithoutStatementsIsInDoubt)
+{
+    this->publish();
+    const auto caller = this->startSession();
+    this->request(*caller, "QUERY 1 BEGIN");
+    this->backends["p"]->loseAnswers = 1'000;
+    EXPECT_TRUE(this->request(*caller, "QUERY 2 COMMIT").starts_with("ERROR TIMEOUT"));
+}
+
 // Guards against a caller that sends an endless line: it must neither exhaust the memory nor affect the connections of
 // other callers.
 TEST_F(CallerSessionTest, EndlessLineClosesOnlyItsConnection)
