Count an answer only with its signature and a possible state

A success needs the server's signature and a state that the statement can leave behind; a read that is sent together with its rollback needs both answers. Everything else ends in doubt for writes and commits, and refused for the rest, and the connection is closed. PooledServer::runStatement(), which every statement of a caller passes, checks it.

The commit of a transaction without statements left its connection pinned under a lease until the idle timeout (3 s); the unit says now that its statement ends the transaction.

--- a/gateway/callertransactions.cpp
+++ b/gateway/callertransactions.cpp
@@ -128,7 +128,10 @@
     operation.values = &this->values;
     operation.sessionPosition = this->position;
     operation.startedAt = this->receivedAt;
-    WorkUnit unit{.kind = UnitKind::OpenTransaction, .id = std::move(statement.id), .text = std::move(statement.text)};
+    WorkUnit unit{.kind = UnitKind::OpenTransaction,
+                  .id = std::move(statement.id),
+                  .text = std::move(statement.text),
+                  .endsTransaction = true};
     const StatementOutcome outcome
         = co_await this->context->runner->run(std::move(operation), std::move(unit), open.readOnly);
     this->transaction.reset();
--- a/gateway/pooledserver.cpp
+++ b/gateway/pooledserver.cpp
@@ -236,6 +236,11 @@
         result = co_await this->runStatement(*connection, unit, unit.kind == UnitKind::PrimaryRead);
     }
     const bool answered = result.outcome == UnitOutcome::Done || result.outcome == UnitOutcome::ServerError;
+    const bool committed = unit.endsTransaction && result.outcome == UnitOutcome::Done;
+    if (transaction && begun && committed) {
+        this->keepOrDrop(connection, connection->link->isOpen());
+        co_return result;
+    }
     if (transaction && begun && answered && !connection->link->isOpen()) {
         // The server rolled back the transaction when the connection closed. Later statements must not run outside of
         // it on a different connection.
--- a/gateway/pooledserverstatements.cpp
+++ b/gateway/pooledserverstatements.cpp
@@ -16,6 +16,8 @@
 
 /// Timeout of commands that occupy no slot and are answered within one round trip.
 constexpr std::chrono::milliseconds ControlTimeout{450};
+/// Signature of answers to commands that are not statements of callers.
+constexpr std::string_view UnsignedAnswer = "-";
 
 bool isWriteOutcome(UnitKind kind)
 {
@@ -38,6 +40,19 @@
     }
 }
 
+/// States in which a statement that succeeded can leave its connection.
+bool isPossibleState(const pooling::WorkUnit &unit, ServerState state)
+{
+    switch (unit.kind) {
+    case UnitKind::Write:
+    case UnitKind::ReplicaRead:
+    case UnitKind::Commit:
+        return state == ServerState::Idle;
+    default:
+        return (state == ServerState::Idle) == unit.endsTransaction;
+    }
+}
+
 pooling::UnitResult errorResult(const ServerReply &reply)
 {
     return {.outcome = isNotRunError(reply.error) ? UnitOutcome::NotRun : UnitOutcome::ServerError,
@@ -139,8 +154,10 @@
         commands.push_back({.kind = CommandKind::Rollback});
     }
     const core::TimePoint sentAt = core::Clock::now();
+    const std::size_t expected = commands.size();
     std::vector<ServerReply> replies = co_await connection.link->exchange(std::move(commands), unit.statementTimeout);
-    if (replies.empty()) {
+    if (replies.size() < expected) {
+        // It is not known which of the answers is missing, so that none of them counts.
         const bool timedOut = core::Clock::now() - sentAt >= unit.statementTimeout;
         const UnitError error = timedOut ? UnitError::NoAnswer : UnitError::ConnectionLost;
         co_return Result{.outcome = isWriteOutcome(unit.kind) ? UnitOutcome::Unknown : UnitOutcome::NotRun,
@@ -156,6 +173,13 @@
         }
         co_return errorResult(reply);
     }
+    if (reply.signature.empty() || reply.signature == UnsignedAnswer || !isPossibleState(unit, reply.state)) {
+        // The answer belongs to another command, and later answers on this connection would be shifted as well.
+        connection.link->close();
+        co_return Result{.outcome = isWriteOutcome(unit.kind) ? UnitOutcome::Unknown : UnitOutcome::NotRun,
+                         .error = UnitError::ConnectionLost,
+                         .errorText = "the answer carries no signature or belongs to another statement"};
+    }
     co_return Result{.outcome = UnitOutcome::Done,
                      .rows = std::move(reply.rows),
                      .signature = std::move(reply.signature),
--- a/gateway/workmessage.cpp
+++ b/gateway/workmessage.cpp
@@ -73,6 +73,9 @@
     addText(object, "i", unit.id);
     addText(object, "t", unit.text);
     addText(object, "l", unit.lease);
+    if (unit.endsTransaction) {
+        object.emplace("c", true);
+    }
     if (unit.prepared) {
         object.emplace("p", json::array{unit.prepared->writes, json::string(unit.prepared->shape)});
     }
@@ -106,6 +109,7 @@
     unit.id = core::jsonString(object, "i");
     unit.text = core::jsonString(object, "t");
     unit.lease = core::jsonString(object, "l");
+    unit.endsTransaction = core::jsonBool(object, "c");
     if (const json::array *const prepared = core::jsonArray(object, "p")) {
         if (prepared->size() != 2 || !(*prepared)[0].is_bool() || !(*prepared)[1].is_string()) {
             return leaf::new_error(malformed("prepared statement"));
--- a/pooling/statement.h
+++ b/pooling/statement.h
@@ -86,6 +86,7 @@
     SessionValues values;
     session::LogPosition minimumPosition; ///< Position the server must have received; term 0 for none.
     std::string lease; ///< Id of the open transaction, for InTransaction, Commit and Rollback.
+    bool endsTransaction = false; ///< For OpenTransaction and OpenReadOnly: the first statement is the commit.
     std::uint64_t pauseTerm = 0; ///< For Pause: a term above those of all servers.
     queueing::Priority urgency = queueing::Priority::Read; ///< Priority class in the queue of the server.
     std::chrono::milliseconds queueTimeout{}; ///< Timeout for getting a connection and a slot.
--- a/tests/gateway/test_callersession.cpp
+++ b/tests/gateway/test_callersession.cpp
@@ -463,6 +463,17 @@
     EXPECT_TRUE(this->request(*caller, "QUERY 2 COMMIT").starts_with("ERROR TIMEOUT"));
 }
 
+// Guards against a connection that stays pinned until the idle timeout after the commit of a transaction without
+// statements.
+TEST_F(CallerSessionTest, CommitWithoutStatementsReleasesItsConnection)
+{
+    this->publish();
+    const auto caller = this->startSession();
+    this->request(*caller, "QUERY 1 BEGIN");
+    EXPECT_TRUE(this->request(*caller, "QUERY 2 COMMIT").starts_with("COMPLETE signed"));
+    EXPECT_EQ(this->router->pools().at("p")->openTransactions(), 0U);
+}
+
 // Guards against a caller that sends an endless line: it must neither exhaust the memory nor affect the connections of
 // other callers.
 TEST_F(CallerSessionTest, EndlessLineClosesOnlyItsConnection)
--- a/tests/gateway/test_messages.cpp
+++ b/tests/gateway/test_messages.cpp
@@ -33,6 +33,7 @@
                                  .values = {{"zone", "a b"}},
                                  .minimumPosition = {.term = 3, .position = 1'207},
                                  .lease = "l",
+                                 .endsTransaction = true,
                                  .urgency = queueing::Priority::StaleRead,
                                  .queueTimeout = std::chrono::milliseconds(10),
                                  .statementTimeout = std::chrono::milliseconds(20),
@@ -41,6 +42,7 @@
     EXPECT_EQ(read.kind, unit.kind);
     EXPECT_EQ(read.text, unit.text);
     EXPECT_EQ(read.prepared, unit.prepared);
+    EXPECT_EQ(read.endsTransaction, unit.endsTransaction);
     EXPECT_EQ(read.values, unit.values);
     EXPECT_EQ(read.urgency, unit.urgency);
     EXPECT_EQ(read.minimumPosition, unit.minimumPosition);
--- a/tests/gateway/test_pooledserver.cpp
+++ b/tests/gateway/test_pooledserver.cpp
@@ -302,6 +302,57 @@
     EXPECT_GE(later.proofAge, 50ms);
 }
 
+// Guards against a success without the server's signature, or with a state of the session that the statement cannot
+// leave behind: the answer belongs to another statement. A write is in doubt then, and the connection is not used
+// again.
+TEST_F(PooledServerTest, AnswerOfAnotherStatementIsNoSuccess)
+{
+    struct Case
+    {
+        UnitKind kind;
+        const char *text;
+        UnitOutcome outcome;
+    };
+    for (const Case &expected : {Case{UnitKind::Write, "WRITE 1 x", UnitOutcome::Unknown},
+                                 Case{UnitKind::ReplicaRead, "READ 1", UnitOutcome::NotRun},
+                                 Case{UnitKind::PrimaryRead, "READ 1", UnitOutcome::NotRun},
+                                 Case{UnitKind::OpenTransaction, "WRITE 1 x", UnitOutcome::NotRun}}) {
+        for (std::size_t *const fault : {&this->backend->unsignedAnswers, &this->backend->wrongStates}) {
+            *fault = 1;
+            const std::size_t opened = this->backend->opened;
+            const UnitResult result = this->run(unit(expected.kind, expected.text));
+            EXPECT_EQ(result.outcome, expected.outcome) << expected.text;
+            EXPECT_EQ(result.error, UnitError::ConnectionLost) << expected.text;
+            EXPECT_TRUE(result.lease.empty());
+            this->runUntil([this] { return this->pool->openConnections() == 0; });
+            EXPECT_EQ(this->run(unit(UnitKind::Write, "WRITE 1 x")).outcome, UnitOutcome::Done);
+            EXPECT_GT(this->backend->opened, opened);
+        }
+    }
+}
+
+// Guards against a commit that is reported as done although its answer belongs to another statement.
+TEST_F(PooledServerTest, UnsignedCommitIsInDoubt)
+{
+    for (std::size_t *const fault : {&this->backend->unsignedAnswers, &this->backend->wrongStates}) {
+        const UnitResult opened = this->run(unit(UnitKind::OpenTransaction, "WRITE 1 x"));
+        *fault = 1;
+        WorkUnit commit = unit(UnitKind::Commit, "COMMIT");
+        commit.lease = opened.lease;
+        EXPECT_EQ(this->run(std::move(commit)).outcome, UnitOutcome::Unknown);
+        EXPECT_EQ(this->pool->openTransactions(), 0U);
+    }
+}
+
+// Guards against taking the answer to the rollback for the answer to the read that was sent together with it.
+TEST_F(PooledServerTest, ReadWithFewerAnswersThanCommandsIsNoSuccess)
+{
+    this->backend->lostRollbacks = 1;
+    const UnitResult result = this->run(unit(UnitKind::PrimaryRead, "READ 1"));
+    EXPECT_EQ(result.outcome, UnitOutcome::NotRun);
+    EXPECT_EQ(result.error, UnitError::ConnectionLost);
+}
+
 // Guards against a unit that waits for good: the pool was closed while a connection was being opened for the unit, and
 // the unit queued again in the closed pool, which nothing ticks any more.
 TEST_F(PooledServerTest, ClosedPoolAnswersAUnitThatWasConnecting)
--- a/tests/platform/test_tcpserverlink.cpp
+++ b/tests/platform/test_tcpserverlink.cpp
@@ -116,4 +116,25 @@
     EXPECT_FALSE(this->link.isOpen());
 }
 
+// Guards against an answer that nobody asked for, which would be taken for the answer to the next statement.
+TEST_F(TcpServerLinkTest, ConnectionWithBytesLeftOverIsNotUsedAgain)
+{
+    this->startExchange(2s);
+    asio::write(*this->server, asio::buffer(std::string_view("COMPLETE sig\r\nREADY I 3.2\r\nCOMPLETE other\r\n")));
+    this->runUntil([&] { return this->replies.has_value(); });
+    ASSERT_EQ(this->replies->size(), 1U);
+    EXPECT_FALSE(this->link.isOpen());
+}
+
+// Guards against the same answer when it arrives while the connection waits for its next statement.
+TEST_F(TcpServerLinkTest, IdleConnectionWithUnreadBytesIsNotUsedAgain)
+{
+    this->startExchange(2s);
+    asio::write(*this->server, asio::buffer(std::string_view("COMPLETE sig\r\nREADY I 3.2\r\n")));
+    this->runUntil([&] { return this->replies.has_value(); });
+    EXPECT_TRUE(this->link.isOpen());
+    asio::write(*this->server, asio::buffer(std::string_view("COMPLETE other\r\nREADY I 3.2\r\n")));
+    this->runUntil([&] { return !this->link.isOpen(); });
+}
+
 }
