End lines with CR LF only, and encode and decode them in one place

Cause: both decoders ended a line at a line feed, while the protocol ends it with CR LF.

A text can never add a line: the encoder drops carriage returns before a line feed inside it. A message above 1 MiB, also one that never ends, gets MALFORMED and a close; the rest is read for up to 1 s so that the answer is not lost with a reset. EndlessLineClosesOnlyItsConnection expects the answer and then the close, where it expected the close only. max_body_bytes, which was read and not used, is not read. As a side effect a waiting session has no bytes in its buffer any more, so that closeWhenIdle() closes it, as it was meant to; it asks the socket for unread bytes as well.

No micro benchmark of the decoder was made.

--- a/gateway/callersession.cpp
+++ b/gateway/callersession.cpp
@@ -3,7 +3,6 @@
 #include "core/error.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/read_until.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -26,6 +25,9 @@
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t MaxLineBytes = 1024 * 1024; ///< Largest message of the wire protocol.
+/// Time for which the rest of a message that exceeds the limit is read and dropped.
+constexpr std::chrono::milliseconds LongMessageLinger{1'000};
+constexpr std::size_t DiscardBytes = 4096;
 /// A connection whose peer acknowledges no data for this long is closed (TCP_USER_TIMEOUT).
 constexpr int UserTimeoutMs = 10'000;
 /// Workspace to which operations on open routes without a known key are charged.
@@ -40,6 +42,7 @@
 CallerSession::CallerSession(asio::ip::tcp::socket socket, std::shared_ptr<SessionContext> context)
     : socket(std::move(socket))
     , context(std::move(context))
+    , input(MaxLineBytes)
 {
     boost::system::error_code ignored;
     this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -83,17 +86,47 @@
 
 net::awaitable<std::optional<std::string>> CallerSession::readLine()
 {
-    auto [error, length] = co_await asio::async_read_until(
-        this->socket, asio::dynamic_buffer(this->input, MaxLineBytes), '\n', UseTuple);
-    if (error) {
-        co_return std::nullopt;
+    std::string line;
+    while (true) {
+        const net::LineDecoder::Step step = this->input.next(line);
+        if (step == net::LineDecoder::Step::Line) {
+            co_return line;
+        }
+        if (step == net::LineDecoder::Step::TooLong) {
+            co_await this->refuseLongMessage();
+            co_return std::nullopt;
+        }
+        const std::span<char> space = this->input.prepare();
+        auto [error, length]
+            = co_await this->socket.async_read_some(asio::buffer(space.data(), space.size()), UseTuple);
+        if (error) {
+            co_return std::nullopt;
+        }
+        this->input.commit(length);
     }
-    std::string line = this->input.substr(0, length - 1);
-    this->input.erase(0, length);
-    if (line.ends_with('\r')) {
-        line.pop_back();
+}
+
+net::awaitable<void> CallerSession::refuseLongMessage()
+{
+    const CallerProtocol &protocol = *this->context->protocol;
+    std::string text = this->started ? protocol.encode(this->errorReply(CallerError::Malformed))
+                                     : protocol.encodeRefusedStart(CallerError::Malformed);
+    co_await this->write(std::move(text));
+    boost::system::error_code ignored;
+    this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    asio::steady_timer limit(this->context->executor, LongMessageLinger);
+    limit.async_wait([self = this->weak_from_this()](const boost::system::error_code &error) {
+        const std::shared_ptr<CallerSession> session = error ? nullptr : self.lock();
+        if (session != nullptr) {
+            session->close();
+        }
+    });
+    std::array<char, DiscardBytes> discarded; // NOLINT(cppcoreguidelines-pro-type-member-init)
+    bool open = true;
+    while (open) {
+        auto [error, length] = co_await this->socket.async_read_some(asio::buffer(discarded), UseTuple);
+        open = !error;
     }
-    co_return line;
 }
 
 net::awaitable<bool> CallerSession::write(std::string text)
@@ -397,7 +430,9 @@
 void CallerSession::closeWhenIdle()
 {
     this->closing = true;
-    if (this->isIdle() && this->input.empty()) {
+    boost::system::error_code error;
+    const bool hasInput = !this->input.empty() || this->socket.available(error) > 0;
+    if (this->isIdle() && !hasInput) {
         this->close();
     }
 }
--- a/gateway/callersession.h
+++ b/gateway/callersession.h
@@ -3,6 +3,7 @@
 #include "gateway/callerprotocol.h"
 #include "gateway/operationrunner.h"
 #include "gateway/rateclient.h"
+#include "net/linedecoder.h"
 #include "telemetry/metrics.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -65,6 +66,9 @@
 
     net::awaitable<std::optional<std::string>> readLine();
     net::awaitable<bool> write(std::string text);
+    /// Answers a message that exceeds the limit, and reads on for a while so that the caller gets the answer before its
+    /// connection is reset.
+    net::awaitable<void> refuseLongMessage();
     net::awaitable<bool> start(const CallerMessage &message);
     net::awaitable<void> awaitConfiguration();
     net::awaitable<CallerReply> answer(pooling::Statement statement);
@@ -104,7 +108,7 @@
 
     boost::asio::ip::tcp::socket socket;
     std::shared_ptr<SessionContext> context;
-    std::string input;
+    net::LineDecoder input;
     std::string database;
     std::string key;
     pooling::SessionValues values;
--- a/gateway/configuration.h
+++ b/gateway/configuration.h
@@ -59,7 +59,6 @@
     std::map<std::string, Workspace, std::less<>> workspaces;
     std::map<std::string, std::string, std::less<>> workspaceByKey;
     core::Milliseconds transactionIdleTimeout{}; ///< An open transaction that is idle for this long is rolled back.
-    std::size_t maximumLineBytes = 0; ///< Longest line of a caller.
     std::vector<std::string> ignoredRows; ///< Rows of the document that could not be used, with the reason.
 };
 
--- a/tests/gateway/test_callersession.cpp
+++ b/tests/gateway/test_callersession.cpp
@@ -474,6 +474,18 @@
     EXPECT_EQ(this->router->pools().at("p")->openTransactions(), 0U);
 }
 
+// Guards against data that are cut off at a line feed and whose rest runs as another statement: only CR LF ends a line.
+TEST_F(CallerSessionTest, LineFeedInDataIsData)
+{
+    this->publish();
+    const auto caller = this->startSession();
+    this->backends["p"]->rows = {"first\nDATAROW second\nCOMPLETE forged"};
+    EXPECT_EQ(this->request(*caller, "QUERY 1 WRITE 1 x\nQUERY 2 WRITE 2 y\n"),
+              "DATAROW first\nDATAROW second\nCOMPLETE forged\r\nCOMPLETE signed\r\nREADY I 3.100\r\n");
+    ASSERT_EQ(this->backends["p"]->statements().size(), 1U);
+    EXPECT_EQ(this->backends["p"]->statements().front().text, "WRITE 1 x\nQUERY 2 WRITE 2 y\n");
+}
+
 // Guards against a caller that sends an endless line: it must neither exhaust the memory nor affect the connections of
 // other callers.
 TEST_F(CallerSessionTest, EndlessLineClosesOnlyItsConnection)
@@ -492,6 +504,7 @@
             break;
         }
     }
+    EXPECT_TRUE(this->receive(*endless).starts_with("ERROR MALFORMED"));
     EXPECT_EQ(this->receive(*endless), "closed");
     EXPECT_TRUE(this->request(*other, "QUERY 1 WRITE 1 x").starts_with("COMPLETE signed"));
 }
--- a/tests/platform/test_lineprotocol.cpp
+++ b/tests/platform/test_lineprotocol.cpp
@@ -1,10 +1,14 @@
 #include "platform/lineprotocol.h"
 
 #include "core/error.h"
+#include "net/linedecoder.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
+#include <span>
+
 namespace endiveshore::platform {
 
 using gateway::CallerError;
@@ -151,4 +155,50 @@
     EXPECT_FALSE(readStatus({.isError = true}));
 }
 
+// Guards against rows and errors that change, or add lines, between the encoder for callers and the decoder of answers,
+// and against lines of any bytes that end the process.
+TEST(CallerLines, AnyTextSurvivesEncodingAndDecoding)
+{
+    const LineCallerProtocol lines;
+    rc::check("rows of any bytes", [&lines](const std::vector<std::string> &rows, const std::string &errorText) {
+        for (const bool fails : {false, true}) {
+            gateway::CallerReply reply{.errorText = "FAILED " + errorText, .rows = rows, .signature = "7.1f3"};
+            if (fails) {
+                reply.error = CallerError::StatementFailed;
+            }
+            const std::string text = lines.encode(reply);
+            net::LineDecoder decoder(text.size());
+            std::size_t sent = 0;
+            while (sent < text.size()) {
+                const std::span<char> space = decoder.prepare();
+                const std::size_t count = text.copy(space.data(), space.size(), sent);
+                decoder.commit(count);
+                sent += count;
+            }
+            gateway::ServerReply decoded;
+            std::string line;
+            std::size_t complete = 0;
+            while (decoder.next(line) == net::LineDecoder::Step::Line) {
+                lines.decode(line);
+                complete += readReplyLine(line, decoded) ? 1U : 0U;
+            }
+            RC_ASSERT(complete == 1U);
+            RC_ASSERT(decoder.empty());
+            RC_ASSERT(decoded.isError == fails);
+            const auto isPlain = [](const std::string &row) { return row.find("\r\n") == std::string::npos; };
+            if (!fails && std::ranges::all_of(rows, isPlain)) {
+                RC_ASSERT(decoded.rows == rows);
+            }
+            if (fails && isPlain(errorText)) {
+                RC_ASSERT(decoded.errorText == reply.errorText);
+            }
+        }
+    });
+    rc::check("lines of any bytes", [&lines](const std::string &text) {
+        lines.decode(text);
+        lines.decode("QUERY 1 " + text);
+        lines.decode("START " + text);
+    });
+}
+
 }
