--- a/gateway/pooledserver.cpp
+++ b/gateway/pooledserver.cpp
@@ -236,8 +236,7 @@
         result = co_await this->runStatement(*connection, unit, unit.kind == UnitKind::PrimaryRead);
     }
     const bool answered = result.outcome == UnitOutcome::Done || result.outcome == UnitOutcome::ServerError;
-    const bool committed = unit.endsTransaction && result.outcome == UnitOutcome::Done;
-    if (transaction && begun && committed) {
+    if (unit.endsTransaction && begun && result.outcome == UnitOutcome::Done) {
         this->keepOrDrop(connection, connection->link->isOpen());
         co_return result;
     }
@@ -247,7 +246,8 @@
         result
             = notRun(UnitError::ConnectionLost, "connection closed together with the first answer of the transaction");
     }
-    if (transaction && begun && answered && connection->link->isOpen() && !result.transactionFailed) {
+    const bool goesOn = answered && !unit.endsTransaction && !result.transactionFailed;
+    if (transaction && begun && goesOn && connection->link->isOpen()) {
         result.lease = core::randomHex(LeaseIdBytes);
         this->leases.emplace(
             result.lease,
@@ -273,7 +273,10 @@
     Result result;
     {
         const std::optional<Slot> slot = co_await this->admit(unit, UnitNeed::Slot);
-        if (slot) {
+        if (!connection->link->isReusable()) {
+            connection->link->close();
+            result = notRun(UnitError::ConnectionLost, "the connection was closed or received an unexpected answer");
+        } else if (slot) {
             result = co_await this->prepareConnection(*connection, unit);
             if (result.outcome == UnitOutcome::Done) {
                 result = co_await this->runStatement(*connection, unit, false);
--- a/gateway/pooledserverconnections.cpp
+++ b/gateway/pooledserverconnections.cpp
@@ -39,7 +39,7 @@
         const auto found = this->idle.find(choice->connection);
         std::shared_ptr<Connection> reused = found == this->idle.end() ? nullptr : found->second;
         this->idle.erase(choice->connection);
-        if (reused != nullptr && reused->link->isOpen()) {
+        if (reused != nullptr && reused->link->isReusable()) {
             out = std::move(reused);
             co_return Result{.outcome = UnitOutcome::Done};
         }
--- a/gateway/serverlink.h
+++ b/gateway/serverlink.h
@@ -94,6 +94,10 @@
         = 0;
 
     virtual bool isOpen() const = 0;
+
+    /// True if the link is open and no byte has arrived that no command has asked for. Such bytes would be taken for
+    /// the answer to the next command.
+    virtual bool isReusable() const = 0;
     virtual void close() = 0;
 };
 
--- a/tests/gateway/fakebackend.h
+++ b/tests/gateway/fakebackend.h
@@ -139,6 +139,11 @@
         return this->connected;
     }
 
+    bool isReusable() const override
+    {
+        return this->connected;
+    }
+
     void close() override
     {
         if (this->connected) {
--- a/tests/platform/test_tcpserverlink.cpp
+++ b/tests/platform/test_tcpserverlink.cpp
@@ -124,6 +124,7 @@
     this->runUntil([&] { return this->replies.has_value(); });
     ASSERT_EQ(this->replies->size(), 1U);
     EXPECT_FALSE(this->link.isOpen());
+    EXPECT_FALSE(this->link.isReusable());
 }
 
 // Guards against the same answer when it arrives while the connection waits for its next statement.
@@ -132,9 +133,9 @@
     this->startExchange(2s);
     asio::write(*this->server, asio::buffer(std::string_view("COMPLETE sig\r\nREADY I 3.2\r\n")));
     this->runUntil([&] { return this->replies.has_value(); });
-    EXPECT_TRUE(this->link.isOpen());
+    EXPECT_TRUE(this->link.isReusable());
     asio::write(*this->server, asio::buffer(std::string_view("COMPLETE other\r\nREADY I 3.2\r\n")));
-    this->runUntil([&] { return !this->link.isOpen(); });
+    this->runUntil([&] { return !this->link.isReusable(); });
 }
 
 }
