--- a/tests/sessions/linecaller.cpp
+++ b/tests/sessions/linecaller.cpp
@@ -26,6 +26,11 @@
     return this->exchange("QUERY " + std::string(request) + ' ' + std::string(text) + "\r\n");
 }
 
+bool LineCaller::isOpen() const
+{
+    return this->open;
+}
+
 bool LineCaller::closesWithin(std::chrono::milliseconds limit)
 {
     std::string line;
--- a/tests/sessions/linecaller.h
+++ b/tests/sessions/linecaller.h
@@ -37,6 +37,8 @@
     LineAnswer start(std::string_view database, std::string_view key);
     LineAnswer query(std::string_view request, std::string_view text);
 
+    bool isOpen() const;
+
     /// Returns true if the daemon closes the connection within @p limit.
     bool closesWithin(std::chrono::milliseconds limit);
 
